--- /dev/null
+++ b/crates/coordination/src/document_follower.rs
@@ -0,0 +1,111 @@
+//! Follows a source of whole documents; other daemons stand in while it does not answer.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use lynxmast_state::clock;
+use lynxmast_state::event;
+use lynxmast_state::tables;
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+
+use crate::document_source;
+use crate::follower;
+use crate::peer_policy;
+use crate::platform_log;
+
+/// Keeps a daemon's policy at the newest document.
+#[derive(Debug)]
+pub struct DocumentFollower<C: clock::Clock, S: document_source::DocumentSource> {
+    /// Shared tables.
+    pub tables: sync::Arc<tables::Tables<C>>,
+    /// Where documents are published.
+    pub source: S,
+    /// Whether the source answers.
+    pub state: sync::Arc<follower::FollowerState>,
+}
+
+/// Keeps a daemon's policy at what its peers know.
+#[derive(Debug)]
+pub struct PeerFollower<C: clock::Clock> {
+    /// What other daemons know.
+    pub peers: peer_policy::PeerPolicy<C>,
+    /// Asks to look now.
+    pub wake: sync::Arc<tokio::sync::Notify>,
+}
+
+/// Time between looks at what peers know; asking a peer is needed only if one is ahead.
+const LOOK_EVERY: time::Duration = time::Duration::from_millis(250);
+/// Pause after the first failure of the source; doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: time::Duration = time::Duration::from_millis(200);
+/// Longest pause between calls to a source that fails; below the time in which a configuration
+/// has to be in force, so that a source that is back is noticed in time.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(1500);
+
+impl<C: clock::Clock, S: document_source::DocumentSource> DocumentFollower<C, S> {
+    /// Follows until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut pause = PAUSE_MIN;
+        let mut is_following = false;
+        while !stop.is_cancelled() {
+            let step = stop.run_until_cancelled(self.step(is_following)).await;
+            let Some(step) = step else { return };
+            is_following = step.is_ok();
+            self.note(&step);
+            if step.is_ok() {
+                pause = PAUSE_MIN;
+                continue;
+            }
+            let jittered = pause.mul_f64(rand::rng().random_range(0.5..1.0));
+            stop.run_until_cancelled(tokio::time::sleep(jittered)).await;
+            pause = (pause * 2).min(PAUSE_MAX);
+        }
+    }
+
+    async fn step(&mut self, is_following: bool) -> Result<(), platform_log::Unavailable> {
+        let found =
+            if is_following { self.source.wait().await? } else { self.source.newest().await? };
+        if let Some(found) = found {
+            let document_source::Versioned { version, document } = found;
+            self.tables.change_policy(|reducer| {
+                if version > reducer.version {
+                    (reducer.version, reducer.next) = (version, version);
+                    reducer.document = document;
+                }
+            });
+        }
+        if self.tables.view().version > 0 {
+            self.tables.set_current();
+        }
+        Ok(())
+    }
+
+    fn note(&self, step: &Result<(), platform_log::Unavailable>) {
+        let answers = step.is_ok();
+        let before = self.state.log_answers.swap(answers, atomic::Ordering::AcqRel);
+        if before == answers {
+            return;
+        }
+        let kind = if answers { event::Kind::LogBack } else { event::Kind::LogLost };
+        match step {
+            Ok(()) => log::info!(event = "store-back"; "{kind}"),
+            Err(error) => log::warn!(event = "store-lost", reason:% = error; "{kind}"),
+        }
+        self.tables.event(kind);
+    }
+}
+
+impl<C: clock::Clock> PeerFollower<C> {
+    /// Follows until `stop`.
+    pub async fn run(self, stop: CancellationToken) {
+        while !stop.is_cancelled() {
+            self.peers.learn().await;
+            tokio::select! {
+                () = tokio::time::sleep(LOOK_EVERY) => {}
+                () = self.wake.notified() => {}
+                () = stop.cancelled() => {}
+            }
+        }
+    }
+}
--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::control_client;
+use crate::directory;
 
 /// Exchanges membership with other daemons.
 #[derive(Debug)]
@@ -21,7 +22,7 @@
     /// Connections to other daemons.
     pub client: sync::Arc<control_client::ControlClient>,
     /// Addresses to start from.
-    pub seeds: Vec<net::SocketAddr>,
+    pub seeds: directory::Seeds,
 }
 
 /// Share of rounds that also ask a first peer, so that separated groups find each other.
@@ -64,7 +65,8 @@
         let mut rng = rand::rng();
         let mut partners = self.tables.members().partners(fanout, &mut rng);
         if partners.len() < fanout || rng.random_bool(SEED_SHARE) {
-            partners.extend(self.seeds.choose(&mut rng));
+            let seeds = self.seeds.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            partners.extend(seeds.choose(&mut rng));
         }
         partners
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,10 +6,14 @@
 
 pub mod control_client;
 pub mod control_server;
+pub mod directory;
+pub mod document_follower;
+pub mod document_source;
 pub mod follower;
 pub mod gossip;
 pub mod history;
 pub mod http_log;
+pub mod peer_policy;
 pub mod platform_log;
 pub mod snapshots;
 pub mod usage;
--- /dev/null
+++ b/crates/coordination/src/peer_policy.rs
@@ -0,0 +1,81 @@
+//! Learning the policy from other daemons that are ahead.
+
+use std::net;
+use std::sync;
+
+use lynxmast_protocol::control;
+use lynxmast_state::clock;
+use lynxmast_state::ids;
+use lynxmast_state::policy::edit;
+use lynxmast_state::tables;
+
+use crate::control_client;
+use crate::history;
+
+/// What other daemons know of the policy.
+#[derive(Debug)]
+pub struct PeerPolicy<C: clock::Clock> {
+    /// Shared tables.
+    pub tables: sync::Arc<tables::Tables<C>>,
+    /// Connections to other daemons.
+    pub client: sync::Arc<control_client::ControlClient>,
+    /// Recent records, for those behind.
+    pub history: sync::Arc<history::History>,
+}
+
+/// Daemons whose word replaces that of the log or store after a start.
+const PEERS_ENOUGH: usize = 2;
+
+impl<C: clock::Clock> PeerPolicy<C> {
+    /// Catches up with the newest live daemon that is ahead; without one, counts the policy as
+    /// current once enough daemons have been heard.
+    pub async fn learn(&self) {
+        let Some(peer) = self.newer_peer() else {
+            self.note_current_with_peers();
+            return;
+        };
+        loop {
+            let from = self.tables.with_reducer(|reducer| reducer.next);
+            let Ok(answer) = self.client.catch_up(peer, from).await else { return };
+            let is_last = match answer {
+                control::CatchUp::Current => true,
+                control::CatchUp::Records(records) if records.is_empty() => true,
+                control::CatchUp::Records(records) => {
+                    records.into_iter().for_each(|record| self.apply(record.offset, record.edit));
+                    false
+                }
+                control::CatchUp::State(state) => {
+                    self.tables.change_policy(|reducer| *reducer = *state);
+                    true
+                }
+            };
+            if is_last {
+                return;
+            }
+        }
+    }
+
+    /// Counts as current without the log once enough peers have been heard and none is newer.
+    fn note_current_with_peers(&self) {
+        let heard = self.tables.members().live(self.tables.now()).count() - 1;
+        if heard >= PEERS_ENOUGH && self.tables.view().version > 0 {
+            self.tables.set_current();
+        }
+    }
+
+    /// Returns a live daemon whose policy is newer, the newest first.
+    fn newer_peer(&self) -> Option<net::SocketAddr> {
+        let own = self.tables.with_reducer(|reducer| reducer.version);
+        let members = self.tables.members();
+        let newer = members.live(self.tables.now()).filter(|record| record.policy > own);
+        newer.max_by_key(|record| record.policy).map(|record| record.control)
+    }
+
+    /// Applies the record at `offset` and keeps it for those behind.
+    pub fn apply(&self, offset: ids::Offset, edit: edit::Edit) {
+        self.tables.change_policy(|reducer| {
+            reducer.apply(offset, &edit);
+        });
+        self.history.push(offset, edit);
+    }
+}
--- a/crates/coordination/src/snapshots/tests.rs
+++ b/crates/coordination/src/snapshots/tests.rs
@@ -12,6 +12,7 @@
 use crate::control_client;
 use crate::follower;
 use crate::history;
+use crate::peer_policy;
 use crate::platform_log::Log;
 
 /// A log in memory that trims on command.
@@ -98,11 +99,15 @@
 /// Follows the log once and returns the version in force.
 async fn follow(tables: &Tables, log: &FakeLog) -> ids::PolicyVersion {
     let sender = control::Sender { daemon: "d1".into(), secret: String::new() };
-    let follower = follower::Follower {
+    let peers = peer_policy::PeerPolicy {
         tables: tables.clone(),
         client: sync::Arc::new(control_client::ControlClient::new(sender)),
-        log: log.clone(),
         history: sync::Arc::new(history::History::default()),
+    };
+    let follower = follower::Follower {
+        tables: tables.clone(),
+        log: log.clone(),
+        peers,
         wake: Default::default(),
         state: Default::default(),
     };
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -7,9 +7,12 @@
 use displaydoc::Display;
 use lynxmast_coordination::control_client;
 use lynxmast_coordination::control_server;
+use lynxmast_coordination::directory;
+use lynxmast_coordination::document_follower;
 use lynxmast_coordination::follower;
 use lynxmast_coordination::gossip;
 use lynxmast_coordination::history;
+use lynxmast_coordination::peer_policy;
 use lynxmast_coordination::platform_log;
 use lynxmast_coordination::snapshots;
 use lynxmast_coordination::usage;
@@ -29,6 +32,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::admin;
+use crate::platform;
 use crate::settings;
 
 /// A running daemon.
@@ -71,6 +75,9 @@
 const DEPARTURE_SPREAD: time::Duration = time::Duration::from_secs(3);
 /// Time that callers get to see that the daemon is not ready before its entry closes.
 const NOT_READY_NOTICE: time::Duration = time::Duration::from_secs(1);
+/// Part of the time for a shutdown that requests in flight get; the rest is for the process to end
+/// before it is killed.
+const SHUTDOWN_SHARE: f64 = 0.9;
 const TICK: time::Duration = time::Duration::from_millis(100);
 const SHUTDOWN_STEP: time::Duration = time::Duration::from_millis(20);
 const INNER_CONNECTIONS_MAX: usize = 100_000;
@@ -87,78 +94,147 @@
         clock: C,
         metrics: Option<prometheus::PrometheusHandle>,
     ) -> Result<Self, StartError> {
-        let ports = Ports::open(&settings).await?;
-        let listen = ports.listen.clone();
-        let own = own_record(&settings, &listen, &clock);
-        let tables = sync::Arc::new(tables::Tables::new(own, settings.limits.balance, clock));
-        let gate = sync::Arc::new(gate::Gate::new(tables.clone()));
-        let daemon = Self {
-            listen,
-            tables: tables.clone(),
-            gate: gate.clone(),
-            limits: settings.limits.clone(),
-            entry_stop: CancellationToken::new(),
-            stop: CancellationToken::new(),
-            entry_tasks: TaskTracker::new(),
-            tasks: TaskTracker::new(),
-        };
-        let state = daemon.start_coordination(&settings, log, ports.control);
-        let admin =
-            admin::Admin { tables: tables.clone(), gate: gate.clone(), follower: state, metrics };
-        daemon.serve(ports.admin, admin);
-        daemon.serve(ports.beside, beside::Beside::new(gate.clone()));
+        let parts = Parts::open(&settings, clock, gate::Speech::default()).await?;
+        let state = parts.daemon.start_log_coordination(&settings, log, parts.control);
+        let beside = beside::Beside::new(parts.daemon.gate.clone());
+        parts.daemon.serve(parts.beside, beside);
+        parts.daemon.serve_admin(parts.admin, state, metrics);
+        parts.daemon.serve_requests(settings, parts.entry, parts.gate);
+        Ok(parts.daemon)
+    }
+
+    /// Opens all ports and starts to serve on a platform.
+    ///
+    /// # Errors
+    ///
+    /// Names the port that cannot be opened; none is left open then.
+    pub async fn start_on<P: platform::Platform<C>>(
+        settings: settings::Settings,
+        platform: P,
+        clock: C,
+        metrics: Option<prometheus::PrometheusHandle>,
+    ) -> Result<Self, StartError> {
+        let speech = gate::Speech { dialect: platform.dialect(), heartbeat: settings.heartbeat };
+        let parts = Parts::open(&settings, clock, speech).await?;
+        let daemon = parts.daemon;
+        let state = daemon.start_store_coordination(&settings, &platform, parts.control);
+        daemon.serve(parts.beside, platform.beside(daemon.gate.clone()));
+        daemon.serve_admin(parts.admin, state, metrics);
+        daemon.serve_requests(settings, parts.entry, parts.gate);
+        Ok(daemon)
+    }
+
+    fn serve_admin(
+        &self,
+        port: server::Server,
+        follower: sync::Arc<follower::FollowerState>,
+        metrics: Option<prometheus::PrometheusHandle>,
+    ) {
+        let (tables, gate) = (self.tables.clone(), self.gate.clone());
+        self.serve(port, admin::Admin { tables, gate, follower, metrics });
+    }
+
+    fn serve_requests(
+        &self,
+        settings: settings::Settings,
+        entry_port: server::Server,
+        gate_port: server::Server,
+    ) {
+        let (tables, gate) = (self.tables.clone(), self.gate.clone());
         let secret = settings.secret.clone();
         let gate_server = gate_server::GateServer::new(gate.clone(), tables.clone(), secret);
-        daemon.serve(ports.gate, gate_server);
-        let entry = entry::Entry::new(tables.clone(), gate.clone(), settings.secret);
-        let entry = sync::Arc::new(entry);
-        let serving = ports.entry.run(entry.clone(), daemon.entry_stop.clone());
-        daemon.entry_tasks.spawn(serving);
-        daemon.tick(entry);
+        self.serve(gate_port, gate_server);
+        let identity = entry::Identity {
+            secret: settings.secret,
+            service: settings.service,
+            dialect: gate.dialect(),
+        };
+        let entry = sync::Arc::new(entry::Entry::new(tables.clone(), gate, identity));
+        let serving = entry_port.run(entry.clone(), self.entry_stop.clone());
+        self.entry_tasks.spawn(serving);
+        self.tick(entry);
         tables.event(event::Kind::Started);
-        log::info!(daemon = &*settings.name, entry:% = daemon.listen.entry; "started");
-        Ok(daemon)
+        log::info!(event = "started", daemon = &*settings.name, entry:% = self.listen.entry; "");
     }
 
-    fn start_coordination<L: platform_log::Log>(
+    fn start_log_coordination<L: platform_log::Log>(
         &self,
         settings: &settings::Settings,
         log: L,
         control_port: tcp::TcpListener,
     ) -> sync::Arc<follower::FollowerState> {
-        let daemon = settings.name.clone();
-        let sender = control::Sender { daemon, secret: settings.secret.clone() };
-        let client = sync::Arc::new(control_client::ControlClient::new(sender));
-        let history = sync::Arc::new(history::History::default());
         let state = sync::Arc::new(follower::FollowerState::default());
+        let seeds = sync::Mutex::new(settings.peers.clone());
+        let peers = self.start_membership(settings, seeds.into(), control_port);
         let tables = &self.tables;
-        let server = control_server::ControlServer {
-            tables: tables.clone(),
-            history: history.clone(),
-            secret: settings.secret.clone(),
-        };
-        self.tasks.spawn(server.run(control_port, self.stop.clone()));
         let snapshots = snapshots::Snapshots {
             tables: tables.clone(),
             log: log.clone(),
             due: snapshots::Due::default(),
         };
         self.tasks.spawn(snapshots.run(self.stop.clone()));
+        let reporter = usage::Reporter { tables: tables.clone(), client: peers.client.clone() };
+        self.tasks.spawn(reporter.run(self.stop.clone()));
         let follower = follower::Follower {
             tables: tables.clone(),
-            client: client.clone(),
+            peers,
             log,
-            history,
             wake: self.gate.catch_up.clone(),
             state: state.clone(),
         };
         self.tasks.spawn(follower.run(self.stop.clone()));
-        let seeds = settings.peers.clone();
+        state
+    }
+
+    fn start_store_coordination<P: platform::Platform<C>>(
+        &self,
+        settings: &settings::Settings,
+        platform: &P,
+        control_port: tcp::TcpListener,
+    ) -> sync::Arc<follower::FollowerState> {
+        let state = sync::Arc::new(follower::FollowerState::default());
+        let seeds = directory::Seeds::default();
+        let peers = self.start_membership(settings, seeds.clone(), control_port);
+        let tables = &self.tables;
+        let contact = directory::FirstContact {
+            tables: tables.clone(),
+            directory: platform.directory(),
+            seeds,
+        };
+        self.tasks.spawn(contact.run(self.stop.clone()));
+        let wake = self.gate.catch_up.clone();
+        let follower = document_follower::PeerFollower { peers, wake };
+        self.tasks.spawn(follower.run(self.stop.clone()));
+        let follower = document_follower::DocumentFollower {
+            tables: tables.clone(),
+            source: platform.documents(),
+            state: state.clone(),
+        };
+        self.tasks.spawn(follower.run(self.stop.clone()));
+        state
+    }
+
+    /// Starts the exchange of membership and returns access to what peers know of the policy.
+    fn start_membership(
+        &self,
+        settings: &settings::Settings,
+        seeds: directory::Seeds,
+        control_port: tcp::TcpListener,
+    ) -> peer_policy::PeerPolicy<C> {
+        let daemon = settings.name.clone();
+        let sender = control::Sender { daemon, secret: settings.secret.clone() };
+        let client = sync::Arc::new(control_client::ControlClient::new(sender));
+        let history = sync::Arc::new(history::History::default());
+        let tables = &self.tables;
+        let server = control_server::ControlServer {
+            tables: tables.clone(),
+            history: history.clone(),
+            secret: settings.secret.clone(),
+        };
+        self.tasks.spawn(server.run(control_port, self.stop.clone()));
         let gossip = gossip::Gossip { tables: tables.clone(), client: client.clone(), seeds };
         self.tasks.spawn(gossip.run(self.stop.clone()));
-        let reporter = usage::Reporter { tables: tables.clone(), client };
-        self.tasks.spawn(reporter.run(self.stop.clone()));
-        state
+        peer_policy::PeerPolicy { tables: tables.clone(), client, history }
     }
 
     fn serve<H: server::Handler>(&self, server: server::Server, handler: H) {
@@ -183,7 +259,7 @@
         self.tables.event(event::Kind::ShutdownStarted);
         self.gate.close();
         self.tables.members().update_own(|own| own.leaving = true);
-        let limit = self.limits.shutdown;
+        let limit = self.limits.shutdown.mul_f64(SHUTDOWN_SHARE);
         let finished = tokio::time::timeout(limit, self.finish_requests()).await;
         let in_flight = self.gate.in_flight();
         self.tables.event(event::Kind::Stopped);
@@ -216,6 +292,39 @@
     }
 }
 
+/// A daemon that does not serve yet, with its opened ports.
+struct Parts<C: clock::Clock> {
+    daemon: Daemon<C>,
+    entry: server::Server,
+    gate: server::Server,
+    beside: server::Server,
+    admin: server::Server,
+    control: tcp::TcpListener,
+}
+
+impl<C: clock::Clock> Parts<C> {
+    async fn open(
+        settings: &settings::Settings,
+        clock: C,
+        speech: gate::Speech,
+    ) -> Result<Self, StartError> {
+        let Ports { listen, entry, gate, beside, admin, control } = Ports::open(settings).await?;
+        let own = own_record(settings, &listen, &clock);
+        let tables = sync::Arc::new(tables::Tables::new(own, settings.limits.balance, clock));
+        let daemon = Daemon {
+            listen,
+            tables: tables.clone(),
+            gate: sync::Arc::new(gate::Gate::new(tables, speech)),
+            limits: settings.limits.clone(),
+            entry_stop: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            entry_tasks: TaskTracker::new(),
+            tasks: TaskTracker::new(),
+        };
+        Ok(Self { daemon, entry, gate, beside, admin, control })
+    }
+}
+
 /// Opened ports of a daemon.
 struct Ports {
     listen: settings::Listen,
--- a/crates/lynxmastd/src/lib.rs
+++ b/crates/lynxmastd/src/lib.rs
@@ -3,4 +3,6 @@
 pub mod admin;
 pub mod daemon;
 pub mod logging;
+pub mod on_store;
+pub mod platform;
 pub mod settings;
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -8,6 +8,7 @@
 use lynxmast_state::clock;
 use lynxmastd::daemon;
 use lynxmastd::logging;
+use lynxmastd::on_store;
 use lynxmastd::settings;
 use metrics_exporter_prometheus as prometheus;
 use tokio::signal::unix;
@@ -54,7 +55,7 @@
         return process::ExitCode::SUCCESS;
     }
     logging::start();
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match runtime() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("lynxmastd: cannot start worker threads: {error}");
@@ -66,11 +67,29 @@
     code
 }
 
+/// Builds a runtime without further threads where there is one processor.
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    if processors == 1 {
+        return tokio::runtime::Builder::new_current_thread().enable_all().build();
+    }
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()
+}
+
 async fn run(settings: settings::Settings) -> process::ExitCode {
-    let Some(address) = settings.log else { return process::ExitCode::from(EXIT_USAGE) };
-    let log = http_log::HttpLog::new(address);
     let metrics = prometheus::PrometheusBuilder::new().install_recorder().ok();
-    let started = daemon::Daemon::start(settings, log, clock::SystemClock, metrics).await;
+    let clock = clock::SystemClock;
+    let started = match (settings.log, settings.store) {
+        (Some(address), _) => {
+            let log = http_log::HttpLog::new(address);
+            daemon::Daemon::start(settings, log, clock, metrics).await
+        }
+        (None, Some(address)) => {
+            let platform = on_store::OnStore::new(address, &settings.services, clock);
+            daemon::Daemon::start_on(settings, platform, clock, metrics).await
+        }
+        (None, None) => return process::ExitCode::from(EXIT_USAGE),
+    };
     let daemon = match started {
         Ok(daemon) => daemon,
         Err(error) => {
--- /dev/null
+++ b/crates/lynxmastd/src/on_store.rs
@@ -0,0 +1,80 @@
+//! Composition of a daemon with the adapter to the users' platform.
+
+use std::net;
+use std::sync;
+
+use lynxmast_platform::check_ins;
+use lynxmast_platform::configuration;
+use lynxmast_platform::contacts;
+use lynxmast_platform::documents;
+use lynxmast_platform::headers;
+use lynxmast_platform::store;
+use lynxmast_protocol::dialect;
+use lynxmast_state::clock;
+use lynxmast_state::policy::service;
+use lynxmast_transport::gate;
+
+use crate::platform;
+use crate::settings;
+
+/// The users' platform with its store.
+#[derive(Debug)]
+pub struct OnStore<C> {
+    store: store::Store,
+    defaults: configuration::Defaults,
+    clock: C,
+}
+
+/// Requests that may wait at one upstream.
+const QUEUE: u32 = 64;
+/// Most slots that an announcement may claim.
+const SLOTS_MAX: u32 = 4096;
+/// Longest wait for a slot at one gate.
+const WAIT_MAX: std::time::Duration = std::time::Duration::from_secs(2);
+/// Longest time without progress on a body.
+const STALL: std::time::Duration = std::time::Duration::from_secs(10);
+/// Part of the retries that the rules allow which the fleet uses; the rest covers requests whose
+/// arrival is counted twice and daemons that know of too few others.
+const BUDGET_USED: f64 = 0.7;
+
+impl<C> OnStore<C> {
+    /// Returns the platform whose store is at `address`.
+    pub fn new(address: net::SocketAddr, settings: &settings::Services, clock: C) -> Self {
+        let reserve = f64::from(settings.retry_reserve) * BUDGET_USED;
+        let service = service::Service {
+            slots: SLOTS_MAX,
+            queue: QUEUE,
+            max_wait: WAIT_MAX,
+            ramp: std::time::Duration::ZERO,
+            stall: STALL,
+            floor_share: settings.floor_share,
+            retry_ratio: settings.retry_ratio * BUDGET_USED,
+            retry_reserve: Some(reserve as u32),
+            ..service::Service::default()
+        };
+        let defaults = configuration::Defaults { service };
+        Self { store: store::Store::new(address), defaults, clock }
+    }
+}
+
+impl<C: clock::Clock> platform::Platform<C> for OnStore<C> {
+    type Documents = documents::Documents;
+    type Directory = contacts::Contacts;
+    type Beside = check_ins::CheckIns<C>;
+
+    fn dialect(&self) -> sync::Arc<dialect::Dialect> {
+        sync::Arc::new(headers::dialect())
+    }
+
+    fn documents(&self) -> Self::Documents {
+        documents::Documents::new(self.store.clone(), self.defaults.clone())
+    }
+
+    fn directory(&self) -> Self::Directory {
+        contacts::Contacts::new(self.store.clone())
+    }
+
+    fn beside(&self, gate: sync::Arc<gate::Gate<C>>) -> Self::Beside {
+        check_ins::CheckIns::new(gate, self.clock.clone())
+    }
+}
--- a/crates/lynxmastd/src/settings.rs
+++ b/crates/lynxmastd/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use displaydoc::Display;
+use lynxmast_platform::text_time;
 use lynxmast_state::checked;
 use lynxmast_state::ids;
 use lynxmast_state::router;
@@ -21,6 +22,16 @@
         pub secret: String,
         /// Address of the platform's log.
         pub log: Option<net::SocketAddr>,
+        /// Address of the platform's store, in place of the log.
+        pub store: Option<net::SocketAddr>,
+        /// Service of the backend server beside the daemon, stated on requests that begin here.
+        pub service: String,
+        /// Time between heartbeats of the backend server beside the daemon.
+        #[serde(
+            deserialize_with = "read_time",
+            serialize_with = "humantime_serde::serialize"
+        )]
+        pub heartbeat: time::Duration,
         /// Control addresses of daemons to start from.
         pub peers: Vec<net::SocketAddr>,
         /// Addresses to listen on.
@@ -32,6 +43,20 @@
         /// Limits.
         #[serde(skip)]
         pub limits: Limits,
+        /// What a policy from the store does not state of services.
+        #[serde(skip)]
+        pub services: Services,
+    }
+
+    /// Policy of services that comes from the settings where the policy document has none.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Services {
+        /// Retries allowed for each first attempt over the whole fleet, 0 to 1.
+        pub retry_ratio: f64,
+        /// Retries that the whole fleet may make beyond the ratio.
+        pub retry_reserve: u32,
+        /// Share of the slots of live upstreams that avoidance leaves in service, 0 to 1.
+        pub floor_share: f64,
     }
 
     /// Addresses told to other daemons; absent ones are those listened on.
@@ -67,7 +92,10 @@
         /// Connections of callers at a time.
         pub connections: usize,
         /// Time that a shutdown waits for requests in flight.
-        #[serde(with = "humantime_serde")]
+        #[serde(
+            deserialize_with = "read_time",
+            serialize_with = "humantime_serde::serialize"
+        )]
         pub shutdown: time::Duration,
         /// How the entry balances.
         pub balance: router::Balance,
@@ -81,14 +109,24 @@
             domain: "".into(),
             secret: String::new(),
             log: None,
+            store: None,
+            service: String::new(),
+            heartbeat: time::Duration::from_secs(1),
             peers: Vec::new(),
             listen: Listen::default(),
             advertise: Advertise::default(),
             limits: Limits::default(),
+            services: Services::default(),
         }
     }
 }
 
+impl Default for Services {
+    fn default() -> Self {
+        Self { retry_ratio: 0.1, retry_reserve: 0, floor_share: 0.0 }
+    }
+}
+
 impl Default for Listen {
     fn default() -> Self {
         let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
@@ -136,8 +174,17 @@
     }
 }
 
+/// Reads a time with a unit, with a fraction (`2.5s`) or in parts (`1m 30s`).
+fn read_time<'de, D: serde::Deserializer<'de>>(source: D) -> Result<time::Duration, D::Error> {
+    let text = <String as serde::Deserialize>::deserialize(source)?;
+    let parsed = text_time::parse(&text).map_or_else(|| humantime::parse_duration(&text), Ok);
+    parsed.map_err(serde::de::Error::custom)
+}
+
 const SECRET_LENGTH_MIN: usize = 16;
 const CONNECTIONS_MAX: usize = 1_000_000;
+const HEARTBEAT_MIN: time::Duration = time::Duration::from_millis(100);
+const HEARTBEAT_MAX: time::Duration = time::Duration::from_secs(60);
 const SHUTDOWN_MAX: time::Duration = time::Duration::from_secs(24 * 3600);
 
 impl Settings {
@@ -176,10 +223,12 @@
         let listen = sub_table(&mut table, "listen", &mut reader);
         let advertise = sub_table(&mut table, "advertise", &mut reader);
         let limits = sub_table(&mut table, "limits", &mut reader);
+        let services = sub_table(&mut table, "services", &mut reader);
         let mut settings: Settings = reader.read(table, &checked::Place::TOP);
         settings.listen = reader.read(listen, &place("listen"));
         settings.advertise = reader.read(advertise, &place("advertise"));
         settings.limits = reader.read(limits, &place("limits"));
+        settings.services = reader.read(services, &place("services"));
         settings.check(&mut reader);
         if reader.problems.is_empty() { Ok(settings) } else { Err(reader.problems) }
     }
@@ -197,7 +246,15 @@
         rule(long, top, "secret", "write at least 16 characters, the same for the whole fleet");
         let printable = self.secret.chars().all(|c| c.is_ascii_graphic());
         rule(printable, top, "secret", "write printable ASCII characters without spaces");
-        rule(self.log.is_some(), top, "log", "write the address of the platform's log");
+        let sources = usize::from(self.log.is_some()) + usize::from(self.store.is_some());
+        let reason = "write the address of the platform's log, or of its store under 'store'";
+        rule(sources == 1, top, "log", reason);
+        let beats = (HEARTBEAT_MIN..=HEARTBEAT_MAX).contains(&self.heartbeat);
+        rule(beats, top, "heartbeat", "is not in 100ms to 60s");
+        let services = &place("services");
+        let is_share = |share: f64| (0.0..=1.0).contains(&share);
+        rule(is_share(self.services.retry_ratio), services, "retry-ratio", "is not in 0 to 1");
+        rule(is_share(self.services.floor_share), services, "floor-share", "is not in 0 to 1");
         let limits = &place("limits");
         let connections = (1..=CONNECTIONS_MAX).contains(&self.limits.connections);
         rule(connections, limits, "connections", "is not in 1 to 1000000");
--- a/crates/protocol/src/announce.rs
+++ b/crates/protocol/src/announce.rs
@@ -20,6 +20,12 @@
         /// Requests it runs at a time; the service's policy if absent.
         #[serde(default)]
         pub slots: Option<u32>,
+        /// Name of this start, if the backend server has one.
+        #[serde(default)]
+        pub instance: Option<ids::InstanceName>,
+        /// Rises with each announcement of a start; 0 if the backend server does not count.
+        #[serde(default)]
+        pub sequence: u64,
         /// Start of the backend server; larger is newer.
         pub incarnation: ids::Incarnation,
     }
@@ -35,6 +41,9 @@
     /// Announces a departure; repeated until nothing is in flight.
     #[serde(deny_unknown_fields)]
     pub struct Departure {
+        /// Name of the start that departs, if it has one.
+        #[serde(default)]
+        pub instance: Option<ids::InstanceName>,
         /// Service that the backend server belongs to.
         pub service: ids::ServiceName,
         /// Address that was announced.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -26,8 +26,14 @@
     pub left: time::Duration,
     /// Policy version that the entry decided with.
     pub policy: ids::PolicyVersion,
-    /// Whether the request may be run more than once.
+    /// Whether the gate may send the request a second time, on a new connection.
     pub idempotent: bool,
+    /// Whether to run the request even if the gate doubts the upstream.
+    pub insists: bool,
+    /// Rank of the route; 0 is the most urgent.
+    pub rank: u32,
+    /// Time until an answer is worth less to the caller; `None` if it is already.
+    pub objective: Option<time::Duration>,
 }
 
 /// A header is missing or cannot be read.
@@ -56,6 +62,9 @@
     ///     left: Duration::from_millis(250),
     ///     policy: 7,
     ///     idempotent: false,
+    ///     insists: false,
+    ///     rank: 0,
+    ///     objective: None,
     /// };
     /// let mut headers = http::HeaderMap::new();
     /// sent.write(&mut headers);
@@ -68,6 +77,15 @@
         put(headers, header::LEFT_US, &self.left.as_micros().to_string());
         put(headers, header::POLICY, &self.policy.to_string());
         put(headers, header::IDEMPOTENT, &self.idempotent.to_string());
+        if self.insists {
+            put(headers, header::INSISTS, "true");
+        }
+        if self.rank > 0 {
+            put(headers, header::RANK, &self.rank.to_string());
+        }
+        if let Some(objective) = self.objective {
+            put(headers, header::OBJECTIVE_US, &objective.as_micros().to_string());
+        }
     }
 
     /// Reads an envelope from a request's headers.
@@ -85,6 +103,9 @@
             left: time::Duration::from_micros(get(headers, header::LEFT_US)?),
             policy: get(headers, header::POLICY)?,
             idempotent: get(headers, header::IDEMPOTENT)?,
+            insists: headers.contains_key(header::INSISTS),
+            rank: single(headers, header::RANK).unwrap_or(0),
+            objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
         })
     }
 }
@@ -98,6 +119,8 @@
     pub load: Option<load::Load>,
     /// Time from hand-over to the answer's head, if handed over.
     pub took: Option<time::Duration>,
+    /// How likely the gate takes its upstream to be failing, in percent.
+    pub doubt: Option<u8>,
     /// Policy version in force at the gate.
     pub policy: ids::PolicyVersion,
 }
@@ -115,6 +138,9 @@
         if let Some(took) = self.took {
             put(headers, header::TOOK_US, &took.as_micros().to_string());
         }
+        if let Some(doubt) = self.doubt {
+            put(headers, header::DOUBT, &doubt.to_string());
+        }
     }
 
     /// Reads a result from an answer's headers.
@@ -135,8 +161,8 @@
             _ => return Err(HeaderError::Malformed(header::OUTCOME)),
         };
         let took = get(headers, header::TOOK_US).ok().map(time::Duration::from_micros);
-        let load = get(headers, header::LOAD).ok();
-        Ok(Self { ended, load, took, policy: get(headers, header::POLICY)? })
+        let (load, doubt) = (single(headers, header::LOAD), single(headers, header::DOUBT));
+        Ok(Self { ended, load, took, doubt, policy: get(headers, header::POLICY)? })
     }
 }
 
@@ -153,10 +179,25 @@
 ///
 /// Names the header if it is missing, repeated or malformed.
 pub fn get<T: str::FromStr>(headers: &HeaderMap, name: &'static str) -> Result<T, HeaderError> {
+    single(headers, name).ok_or(HeaderError::Malformed(name))
+}
+
+/// Reads a header that must occur once; `None` if it is missing, repeated or unreadable.
+///
+/// # Examples
+///
+/// ```
+/// use lynxmast_protocol::envelope;
+/// let mut headers = http::HeaderMap::new();
+/// headers.insert("x-count", "7".parse().unwrap());
+/// assert_eq!(envelope::single(&headers, "x-count"), Some(7));
+/// assert_eq!(envelope::single::<u32>(&headers, "x-other"), None);
+/// ```
+pub fn single<T: str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
     let mut values = headers.get_all(name).iter();
     let (first, second) = (values.next(), values.next());
     let text = first.filter(|_| second.is_none()).and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.parse().ok()).ok_or(HeaderError::Malformed(name))
+    text.and_then(|text| text.parse().ok())
 }
 
 #[cfg(test)]
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -32,6 +32,15 @@
 /// Entry to gate: `true` if the request may be run more than once.
 pub const IDEMPOTENT: &str = "lynxmast-idempotent";
 
+/// Entry to gate: present if the request is to run even at an upstream that the gate doubts.
+pub const INSISTS: &str = "lynxmast-insists";
+/// Entry to gate: rank of the route, absent for the most urgent.
+pub const RANK: &str = "lynxmast-rank";
+/// Entry to gate: microseconds until an answer is worth less to the caller.
+pub const OBJECTIVE_US: &str = "lynxmast-objective-us";
+
+/// Gate to entry: likelihood in percent that the upstream is failing.
+pub const DOUBT: &str = "lynxmast-doubt";
 /// Gate to entry: load of the upstream, see `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Gate to entry: microseconds from hand-over to the answer's head.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 pub mod announce;
 pub mod control;
+pub mod dialect;
 pub mod envelope;
 pub mod header;
 pub mod log;
--- /dev/null
+++ b/crates/state/src/doubt.rs
@@ -0,0 +1,84 @@
+//! How likely an upstream is failing, judged by the results of its requests.
+//!
+//! A sequential Bayesian filter over two states. A sound upstream fails a few requests in a
+//! hundred, a failing one about half. Failures come and go within seconds, so the belief relaxes
+//! towards the share of upstreams that fail at any time.
+
+use std::time;
+
+/// Belief about one upstream.
+///
+/// # Examples
+///
+/// ```
+/// use lynxmast_state::doubt;
+/// use std::time::{Duration, Instant};
+///
+/// let now = Instant::now();
+/// let mut doubt = doubt::Doubt::new(now);
+/// doubt.record(false, now);
+/// assert!(doubt.is_serious(now));
+/// for _ in 0..3 {
+///     doubt.record(true, now);
+/// }
+/// assert!(!doubt.is_serious(now));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Doubt {
+    likelihood: f64,
+    at: time::Instant,
+}
+
+/// Share of the upstreams taken to be failing while nothing is known of them.
+const PRIOR: f64 = 0.04;
+/// Share of its requests that a failing upstream is taken to fail.
+const FAILS_WHEN_FAILING: f64 = 0.5;
+/// Share of its requests that a sound upstream is taken to fail.
+const FAILS_WHEN_SOUND: f64 = 0.015;
+/// Likelihood from which what must not be repeated goes elsewhere.
+const SERIOUS: f64 = 0.2;
+/// Likelihood that further results do not raise, so that a recovered upstream is found soon.
+const LIKELIHOOD_MAX: f64 = 0.98;
+/// Age at which half of a belief has given way to the prior.
+const HALF_LIFE: time::Duration = time::Duration::from_secs(3);
+
+impl Doubt {
+    /// Returns the belief about an upstream of which nothing is known.
+    pub fn new(now: time::Instant) -> Self {
+        Self { likelihood: PRIOR, at: now }
+    }
+
+    /// Returns a belief that was heard from a gate.
+    pub fn heard(likelihood: f64, now: time::Instant) -> Self {
+        Self { likelihood: likelihood.clamp(0.0, 1.0), at: now }
+    }
+
+    /// Takes the result of one request into account.
+    pub fn record(&mut self, worked: bool, now: time::Instant) {
+        let before = self.likelihood(now);
+        let (failing, sound) = if worked {
+            (1.0 - FAILS_WHEN_FAILING, 1.0 - FAILS_WHEN_SOUND)
+        } else {
+            (FAILS_WHEN_FAILING, FAILS_WHEN_SOUND)
+        };
+        let joint = before * failing;
+        let after = joint / (joint + (1.0 - before) * sound);
+        self.likelihood = after.min(LIKELIHOOD_MAX);
+        self.at = self.at.max(now);
+    }
+
+    /// Returns the likelihood that the upstream is failing.
+    pub fn likelihood(&self, now: time::Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = 0.5_f64.powf(age / HALF_LIFE.as_secs_f64());
+        PRIOR + (self.likelihood - PRIOR) * kept
+    }
+
+    /// Tells whether what must not be repeated should go elsewhere.
+    pub fn is_serious(&self, now: time::Instant) -> bool {
+        self.likelihood(now) >= SERIOUS
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -13,6 +13,8 @@
 pub type DomainName = sync::Arc<str>;
 /// Name of a daemon, unique in the fleet; a replaced VM may take it over.
 pub type DaemonName = sync::Arc<str>;
+/// Name of one start of a backend server.
+pub type InstanceName = sync::Arc<str>;
 /// Counts starts of a daemon or backend server; a larger number is the newer start.
 pub type Incarnation = u64;
 /// Position of a record in a stream of the platform's log.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod checked;
 pub mod clock;
+pub mod doubt;
 pub mod event;
 pub mod fair_queue;
 pub mod health;
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -38,6 +38,12 @@
         NoPolicy,
         /// The sender is not a member of the fleet.
         NotAuthorised,
+        /// The backend server said that it did not run the request.
+        Shed,
+        /// Another backend server than the one meant has the address; it did not run the request.
+        Misdirected,
+        /// The gate doubts the upstream, and the request cannot be repeated if it fails there.
+        Doubtful,
     }
 
     /// Why a request that may have been run has no whole answer.
@@ -113,7 +119,7 @@
 
 impl Refusal {
     /// All refusals, for decoding and tests.
-    pub const ALL: [Refusal; 14] = [
+    pub const ALL: [Refusal; 17] = [
         Refusal::BadRequest,
         Refusal::UnknownKey,
         Refusal::Forbidden,
@@ -128,6 +134,9 @@
         Refusal::PolicyBehind,
         Refusal::NoPolicy,
         Refusal::NotAuthorised,
+        Refusal::Shed,
+        Refusal::Misdirected,
+        Refusal::Doubtful,
     ];
 
     /// Returns the word for the reason header.
@@ -147,6 +156,9 @@
             Refusal::PolicyBehind => "policy-behind",
             Refusal::NoPolicy => "no-policy",
             Refusal::NotAuthorised => "not-authorised",
+            Refusal::Shed => "shed",
+            Refusal::Misdirected => "misdirected",
+            Refusal::Doubtful => "doubtful",
         }
     }
 
@@ -155,6 +167,11 @@
         Refusal::ALL.into_iter().find(|r| r.word() == word)
     }
 
+    /// Tells whether a backend server was asked, though it did not run the request.
+    pub fn reached_upstream(&self) -> bool {
+        matches!(self, Refusal::Shed | Refusal::Misdirected)
+    }
+
     /// Returns the HTTP status told to a caller.
     pub fn status(&self) -> u16 {
         match self {
--- a/crates/state/src/policy/document.rs
+++ b/crates/state/src/policy/document.rs
@@ -1,6 +1,7 @@
 //! The whole policy document and the rules that span sections.
 
 use std::collections;
+use std::time;
 
 use indexmap::IndexMap;
 
@@ -14,6 +15,35 @@
     pub struct Document {
         /// Sections in order of first acceptance.
         pub sections: IndexMap<ids::TeamName, section::Section>,
+        /// What callers may send and how long they may take.
+        #[serde(default)]
+        pub limits: CallerLimits,
+    }
+
+    /// Limits on what callers send.
+    #[serde(default)]
+    pub struct CallerLimits {
+        /// Bytes of a request's head.
+        pub head_size: usize,
+        /// Bytes of a request's body.
+        pub body_size: u64,
+        /// Time to send a request's head.
+        #[serde(with = "humantime_serde")]
+        pub head_time: time::Duration,
+        /// Time that a connection may be idle between requests.
+        #[serde(with = "humantime_serde")]
+        pub idle_time: time::Duration,
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_size: 64 * 1024,
+            body_size: u64::MAX,
+            head_time: time::Duration::from_secs(10),
+            idle_time: time::Duration::from_secs(10),
+        }
     }
 }
 
@@ -21,7 +51,7 @@
     /// Returns a document of `sections`; a later section of a team replaces an earlier one.
     pub fn new(sections: impl IntoIterator<Item = section::Section>) -> Self {
         let sections = sections.into_iter().map(|s| (s.team.clone(), s)).collect();
-        Self { sections }
+        Self { sections, limits: CallerLimits::default() }
     }
 
     /// Checks the rules of the whole against a section that is about to replace its predecessor.
--- a/crates/state/src/policy/section.rs
+++ b/crates/state/src/policy/section.rs
@@ -91,9 +91,11 @@
         for (index, route) in self.route.iter().enumerate() {
             let place = place("route", index);
             route.check(&place, reader);
-            if !route.service.is_empty() && !self.service.iter().any(|s| s.name == route.service) {
-                let reason = format!("no service '{}' in this section", route.service);
-                reader.report(&place, "service", reason);
+            for (name, _) in route.targets().filter(|(name, _)| !name.is_empty()) {
+                if !self.service.iter().any(|s| s.name == *name) {
+                    let reason = format!("no service '{name}' in this section");
+                    reader.report(&place, "service", reason);
+                }
             }
             if self.route[..index].iter().any(|earlier| earlier.collides(route)) {
                 let reason = "an earlier route has the same host, path and method";
--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -23,6 +23,8 @@
         pub name: ids::ServiceName,
         /// Healthy slots that ejections must leave in service.
         pub floor: u32,
+        /// Share of the slots of live upstreams that ejections must leave in service.
+        pub floor_share: f64,
         /// Requests that one upstream runs at a time.
         pub slots: u32,
         /// Connections that one upstream accepts.
@@ -37,6 +39,9 @@
         pub ramp: time::Duration,
         /// Retries and hedges allowed for each first attempt, 0 to 1.
         pub retry_ratio: f64,
+        /// Retries that the whole fleet may make at once beyond the ratio; `None` leaves each
+        /// daemon its own small reserve.
+        pub retry_reserve: Option<u32>,
         /// Whether a slow idempotent request is tried a second time in parallel.
         pub hedge: bool,
         /// Threshold of the gray failure detector.
@@ -52,12 +57,14 @@
         Self {
             name: "".into(),
             floor: 0,
+            floor_share: 0.0,
             slots: 4,
             connections: 350,
             queue: 32,
             max_wait: time::Duration::from_secs(1),
             ramp: time::Duration::from_secs(10),
             retry_ratio: 0.1,
+            retry_reserve: None,
             hedge: true,
             preset: Preset::Steady,
             stall: time::Duration::from_secs(10),
@@ -88,6 +95,8 @@
         rule(self.queue <= QUEUE_MAX, "queue", format!("{} is over {QUEUE_MAX}", self.queue));
         let ratio_ok = (0.0..=1.0).contains(&self.retry_ratio);
         rule(ratio_ok, "retry-ratio", format!("{} is not in 0 to 1", self.retry_ratio));
+        let share_ok = (0.0..=1.0).contains(&self.floor_share);
+        rule(share_ok, "floor-share", format!("{} is not in 0 to 1", self.floor_share));
         rule(self.max_wait <= WAIT_MAX, "max-wait", format!("is over {}s", WAIT_MAX.as_secs()));
         rule(self.ramp <= WAIT_MAX, "ramp", format!("is over {}s", WAIT_MAX.as_secs()));
         let stall_ok = (STALL_MIN..=WAIT_MAX).contains(&self.stall);
--- a/crates/state/src/policy/view.rs
+++ b/crates/state/src/policy/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::sync;
+use std::sync::atomic;
 
 use crate::ids;
 use crate::outcome;
@@ -15,6 +16,8 @@
 pub struct View {
     /// Version compiled.
     pub version: ids::PolicyVersion,
+    /// What callers may send and how long they may take.
+    pub limits: document::CallerLimits,
     services: collections::HashMap<ids::ServiceName, sync::Arc<service::Service>>,
     /// Routes by host, longest path first.
     routes: collections::HashMap<String, Vec<Rule>>,
@@ -35,6 +38,10 @@
 struct Rule {
     team: ids::TeamName,
     route: sync::Arc<route::Route>,
+    /// Services that share the requests, with their weights.
+    targets: Vec<(sync::Arc<service::Service>, u32)>,
+    /// Requests decided so far; spreads them over the targets.
+    decided: atomic::AtomicU32,
 }
 
 /// Everything that the policy says about one request.
@@ -53,13 +60,13 @@
 impl View {
     /// Compiles a document.
     pub fn compile(version: ids::PolicyVersion, document: &document::Document) -> Self {
-        let mut view = View { version, ..View::default() };
+        let mut view = View { version, limits: document.limits.clone(), ..View::default() };
         for (team, section) in &document.sections {
             for service in &section.service {
                 view.services.insert(service.name.clone(), sync::Arc::new(service.clone()));
             }
             for route in &section.route {
-                let rule = Rule { team: team.clone(), route: sync::Arc::new(route.clone()) };
+                let rule = Rule::compile(team, route, &view.services);
                 view.routes.entry(route.host.clone()).or_default().push(rule);
             }
             for organisation in &section.organisation {
@@ -119,13 +126,13 @@
         let rules = self.routes.get(host).ok_or(outcome::Refusal::NoRoute)?;
         let rule = rules.iter().find(|rule| rule.route.matches(path, method));
         let rule = rule.ok_or(outcome::Refusal::NoRoute)?;
-        let service = self.services.get(&rule.route.service).ok_or(outcome::Refusal::NoRoute)?;
+        let service = rule.target().ok_or(outcome::Refusal::NoRoute)?;
         let (organisation, rate) = match key {
             Some(key) => self.identify(key, &rule.team)?,
             None if rule.route.public => (organisation::PUBLIC.into(), None),
             None => return Err(outcome::Refusal::UnknownKey),
         };
-        let (route, service) = (rule.route.clone(), service.clone());
+        let route = rule.route.clone();
         Ok(Decision { route, service, organisation, rate })
     }
 
@@ -142,3 +149,44 @@
         Ok((member.organisation.name.clone(), member.organisation.rate))
     }
 }
+
+impl Rule {
+    fn compile(
+        team: &ids::TeamName,
+        route: &route::Route,
+        services: &collections::HashMap<ids::ServiceName, sync::Arc<service::Service>>,
+    ) -> Self {
+        let known = route.targets().filter_map(|(name, weight)| {
+            services.get(name).map(|service| (service.clone(), weight))
+        });
+        Self {
+            team: team.clone(),
+            route: sync::Arc::new(route.clone()),
+            targets: known.collect(),
+            decided: Default::default(),
+        }
+    }
+
+    /// Chooses the service of the next request. A low-discrepancy sequence keeps the shares of
+    /// any run of requests close to the weights.
+    fn target(&self) -> Option<sync::Arc<service::Service>> {
+        let [(only, _)] = self.targets.as_slice() else { return self.weighted_target() };
+        Some(only.clone())
+    }
+
+    fn weighted_target(&self) -> Option<sync::Arc<service::Service>> {
+        let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let number = self.decided.fetch_add(1, atomic::Ordering::Relaxed);
+        let point = number.wrapping_mul(GOLDEN_RATIO);
+        let mut mark = (u64::from(point) * total) >> u32::BITS;
+        let chosen = self.targets.iter().find(|(_, weight)| {
+            let is_here = mark < u64::from(*weight);
+            mark = mark.saturating_sub(u64::from(*weight));
+            is_here
+        });
+        chosen.map(|(service, _)| service.clone())
+    }
+}
+
+/// Golden ratio as a fraction of 2^32; its multiples fill the circle evenly.
+const GOLDEN_RATIO: u32 = 2_654_435_769;
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -14,6 +14,14 @@
 }
 
 impl Ended {
+    /// Tells whether a backend server was asked.
+    pub fn reached_upstream(self) -> bool {
+        match self {
+            Ended::NotRun(refusal) => refusal.reached_upstream(),
+            Ended::MayHaveRun(_) => true,
+        }
+    }
+
     /// Returns the outcome that a caller is told if this was the last attempt.
     pub fn outcome(self) -> outcome::Outcome {
         match self {
@@ -32,8 +40,10 @@
     pub idempotent: bool,
     /// Whether the request body can be sent again from its start.
     pub replayable: bool,
-    /// Attempts made, the ended one included.
+    /// Attempts that reached a backend server, the ended one included.
     pub attempts: u32,
+    /// Attempts that may reach one at most.
+    pub attempts_max: u32,
     /// Time left until the deadline.
     pub remaining: time::Duration,
 }
@@ -70,7 +80,7 @@
     useful
         && may_run_again(Some(situation.ended), situation.idempotent)
         && situation.replayable
-        && situation.attempts < ATTEMPTS_MAX
+        && situation.attempts < situation.attempts_max
         && situation.remaining > REMAINING_MIN
 }
 
@@ -79,7 +89,16 @@
     use outcome::Refusal::*;
     matches!(
         refusal,
-        QueueFull | WaitTooLong | Draining | NoUpstream | Unreachable | PolicyBehind | NoPolicy
+        QueueFull
+            | WaitTooLong
+            | Draining
+            | NoUpstream
+            | Unreachable
+            | PolicyBehind
+            | NoPolicy
+            | Shed
+            | Misdirected
+            | Doubtful
     )
 }
 
@@ -117,6 +136,11 @@
         self.tokens = (self.tokens + ratio.max(REFILL_MIN)).min(SAVED_MAX);
     }
 
+    /// Lowers what may be saved up to `most` retries.
+    pub fn cap(&mut self, most: f64) {
+        self.tokens = self.tokens.min(most);
+    }
+
     /// Takes one retry if the budget allows it.
     pub fn withdraw(&mut self) -> bool {
         if self.tokens < 1.0 {
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -8,7 +8,14 @@
 
 fn check(ended: Ended, idempotent: bool, change: impl FnOnce(&mut Situation), expected: bool) {
     let remaining = time::Duration::from_secs(1);
-    let mut situation = Situation { ended, idempotent, replayable: true, attempts: 1, remaining };
+    let mut situation = Situation {
+        ended,
+        idempotent,
+        replayable: true,
+        attempts: 1,
+        attempts_max: ATTEMPTS_MAX,
+        remaining,
+    };
     change(&mut situation);
     assert_eq!(wants_retry(&situation), expected);
 }
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 
+use crate::doubt;
 use crate::health;
 use crate::ids;
 use crate::latency;
@@ -54,6 +55,10 @@
     pub service: &'a str,
     /// Healthy slots that avoidance must leave in the service.
     pub floor: u32,
+    /// The same as a share of the slots of the service.
+    pub floor_share: f64,
+    /// Whether the request may be run more than once.
+    pub repeatable: bool,
     /// Upstreams already tried.
     pub tried: &'a [net::SocketAddr],
     /// Time of the decision.
@@ -107,6 +112,8 @@
     sampled: Option<time::Instant>,
     trouble: latency::Average,
     path: health::PathHealth,
+    /// What the gate believes, as last heard.
+    doubt: Option<doubt::Doubt>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -142,6 +149,8 @@
 const TROUBLE_PRIOR: f64 = 2.0;
 /// Time assumed for an upstream before any is known.
 const LATENCY_UNKNOWN_S: f64 = 0.01;
+/// Share of the repeatable requests that go to a doubted upstream, so that it can prove itself.
+const TRIAL_SHARE: f64 = 0.15;
 
 impl Router {
     /// Returns a router without upstreams for the entry of daemon `own` in `domain`.
@@ -173,6 +182,7 @@
             Balance::LeastConnections => pool.least_outstanding(&usable, rng),
             Balance::LoadSeen => {
                 let usable = pool.without_outliers(usable, want);
+                let usable = pool.by_doubt(usable, want, rng);
                 pool.cheapest(&usable, &self.domain, want.now, rng)
             }
         }?;
@@ -191,7 +201,9 @@
         match report {
             Report::Answered { took, is_error } => {
                 upstream.note_time(took, now);
-                upstream.trouble.record(f64::from(u8::from(is_error)), now);
+                if upstream.doubt.is_none() {
+                    upstream.trouble.record(f64::from(u8::from(is_error)), now);
+                }
                 upstream.path.worked();
                 false
             }
@@ -224,6 +236,14 @@
         }
     }
 
+    /// Notes how likely a gate takes its upstream to be failing.
+    pub fn saw_doubt(&mut self, id: &ids::UpstreamId, likelihood: f64, now: time::Instant) {
+        let pool = self.pools.get_mut(&id.service);
+        if let Some(upstream) = pool.and_then(|p| p.upstreams.get_mut(&id.address)) {
+            upstream.doubt = Some(doubt::Doubt::heard(likelihood, now));
+        }
+    }
+
     /// Avoids every upstream behind a daemon's gate, which cannot be reached from here.
     pub fn gate_failed(&mut self, daemon: &str, now: time::Instant) {
         for pool in self.pools.values_mut() {
@@ -296,8 +316,9 @@
         let mut avoided: Vec<(usize, &Upstream)> =
             numbered().filter(|(_, u)| is_avoided(u)).collect();
         avoided.sort_by_key(|(_, upstream)| upstream.path.avoided_until());
+        let floor = self.floor(want);
         for (index, upstream) in avoided {
-            if slots >= want.floor.max(1) {
+            if slots >= floor {
                 break;
             }
             slots += upstream.candidate.slots;
@@ -316,7 +337,39 @@
         };
         let fair: Vec<usize> = usable.iter().copied().filter(is_fair).collect();
         let slots: u32 = fair.iter().map(|&i| self.upstreams[i].candidate.slots).sum();
-        if slots >= want.floor.max(1) { fair } else { usable }
+        if slots >= self.floor(want) { fair } else { usable }
+    }
+
+    /// Narrows the choice by what gates believe of their upstreams. What must not be repeated goes
+    /// where nothing speaks against the upstream, or to the least doubted; a share of the rest goes
+    /// to doubted upstreams, whose gates learn from it.
+    fn by_doubt(&self, usable: Vec<usize>, want: &Want<'_>, rng: &mut impl Rng) -> Vec<usize> {
+        let is_doubted = |&index: &usize| {
+            let doubt = &self.upstreams[index].doubt;
+            doubt.as_ref().is_some_and(|doubt| doubt.is_serious(want.now))
+        };
+        let (doubted, trusted): (Vec<usize>, Vec<usize>) = usable.into_iter().partition(is_doubted);
+        let is_first = want.tried.is_empty();
+        let tries = want.repeatable && is_first && !doubted.is_empty();
+        if tries && rng.random_bool(TRIAL_SHARE) {
+            return doubted;
+        }
+        if !trusted.is_empty() {
+            return trusted;
+        }
+        let likelihood = |index: usize| {
+            let doubt = &self.upstreams[index].doubt;
+            doubt.as_ref().map_or(0.0, |doubt| doubt.likelihood(want.now))
+        };
+        let least = doubted.into_iter().min_by(|&a, &b| likelihood(a).total_cmp(&likelihood(b)));
+        least.into_iter().collect()
+    }
+
+    /// Slots that avoidance must leave in the service.
+    fn floor(&self, want: &Want<'_>) -> u32 {
+        let slots: u32 = self.upstreams.values().map(|upstream| upstream.candidate.slots).sum();
+        let share = (f64::from(slots) * want.floor_share).ceil() as u32;
+        want.floor.max(share).max(1)
     }
 
     fn next_in_turn(&mut self, usable: &[usize]) -> Option<usize> {
@@ -376,6 +429,7 @@
             sampled: None,
             trouble: latency::Average::new(LATENCY_HALF_LIFE),
             path: health::PathHealth::default(),
+            doubt: None,
         }
     }
 
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -33,7 +33,7 @@
 }
 
 fn want(now: time::Instant) -> Want<'static> {
-    Want { service: "s", floor: 0, tried: &[], now }
+    Want { service: "s", floor: 0, floor_share: 0.0, repeatable: true, tried: &[], now }
 }
 
 /// Picks `count` times without ending the requests and counts by upstream.
--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -128,6 +128,8 @@
     /// Panics when the daemon refuses for longer than five seconds.
     pub async fn announce(&self, beside: net::SocketAddr) {
         let announcement = announce::Announcement {
+            instance: None,
+            sequence: 0,
             service: self.service.as_str().into(),
             address: self.address,
             slots: None,
@@ -150,6 +152,7 @@
     /// Announces departure and waits until nothing is in flight; `false` if that takes over `limit`.
     pub async fn depart(&self, beside: net::SocketAddr, limit: time::Duration) -> bool {
         let departure = announce::Departure {
+            instance: None,
             service: self.service.as_str().into(),
             address: self.address,
             incarnation: self.incarnation,
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -164,6 +164,8 @@
     /// Panics when the daemon refuses it or the entries do not learn of it within 15 s.
     pub async fn announce_once(&self, daemon: usize, service: &str, address: net::SocketAddr) {
         let announcement = announce::Announcement {
+            instance: None,
+            sequence: 0,
             service: service.into(),
             address,
             slots: None,
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -40,6 +40,8 @@
     pub body: Bytes,
 }
 
+/// Longest wait for a connection, however long the answer may take.
+const CONNECT_MAX: time::Duration = time::Duration::from_secs(1);
 /// Largest answer in bytes.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
 
@@ -55,7 +57,9 @@
     body: Bytes,
     limit: time::Duration,
 ) -> Result<Answer, ClientError> {
-    let stream = socket::connect(address, limit).await.map_err(|_| ClientError::Connect)?;
+    let connect_limit = limit.min(CONNECT_MAX);
+    let connecting = socket::connect(address, connect_limit);
+    let stream = connecting.await.map_err(|_| ClientError::Connect)?;
     let exchange = send(stream, address, method, target, body);
     tokio::time::timeout(limit, exchange).await.map_err(|_| ClientError::Timeout)?
 }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -10,10 +10,12 @@
 
 use hyper::body::Incoming;
 use indexmap::IndexSet;
+use lynxmast_protocol::dialect;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
+use lynxmast_state::policy::service;
 use lynxmast_state::policy::view;
 use lynxmast_state::retry;
 use lynxmast_state::router;
@@ -37,7 +39,18 @@
     gate: sync::Arc<gate::Gate<C>>,
     peers: peers::Peers,
     own: ids::DaemonName,
-    secret: String,
+    identity: Identity,
+}
+
+/// What an entry says of itself to others.
+#[derive(Debug, Clone, Default)]
+pub struct Identity {
+    /// The fleet's secret.
+    pub secret: String,
+    /// Service of the backend server beside the daemon; empty if none is set.
+    pub service: String,
+    /// Headers spoken with callers and backend servers.
+    pub dialect: sync::Arc<dialect::Dialect>,
 }
 
 /// One caller's request while it is being served.
@@ -48,14 +61,43 @@
     idempotent: bool,
     head: http::request::Parts,
     source: replay::Source,
+    arrived: time::Instant,
     deadline: time::Instant,
 }
 
+impl Job {
+    /// Tells whether a gate may send the request a second time. A budget that the whole fleet
+    /// shares does not know of such sends, so that services with one go without.
+    fn may_resend(&self) -> bool {
+        self.idempotent && self.decision.service.retry_reserve.is_none()
+    }
+
+    /// Tells whether another attempt may follow the next one if that fails.
+    fn is_expendable(&self, progress: &Progress) -> bool {
+        self.idempotent && progress.attempts + 1 < self.decision.route.attempts
+    }
+
+    /// Time until an answer is worth less to the caller; `None` if it is already, or none is
+    /// stated.
+    fn objective_left(&self, now: time::Instant) -> Option<time::Duration> {
+        let objective = self.decision.route.objective;
+        let until = Some(self.arrived + objective).filter(|_| !objective.is_zero())?;
+        until.checked_duration_since(now)
+    }
+}
+
 /// What the attempts for one request have come to so far.
 #[derive(Debug, Default)]
 struct Progress {
     tried: IndexSet<net::SocketAddr>,
+    /// Attempts that reached a backend server.
     attempts: u32,
+    /// Gates asked.
+    asked: u32,
+    /// Upstreams that their gates doubted.
+    doubtful: Vec<net::SocketAddr>,
+    /// Whether gates are asked to run the request at upstreams that they doubt.
+    insists: bool,
     /// The last end without proof that the request was not run.
     doubt: Option<retry::Ended>,
     /// The last end of an attempt.
@@ -65,26 +107,42 @@
 impl Progress {
     fn note(&mut self, ended: retry::Ended) {
         self.last = Some(ended);
+        self.attempts += u32::from(ended.reached_upstream());
         if matches!(ended, retry::Ended::MayHaveRun(_)) {
             self.doubt = Some(ended);
         }
     }
+
+    /// Asks the gates that only doubted their upstreams once more, to run the request there all
+    /// the same; `false` if none did or they have been asked already.
+    fn insist(&mut self) -> bool {
+        if self.insists || self.doubtful.is_empty() || self.attempts > 0 {
+            return false;
+        }
+        self.insists = true;
+        for address in std::mem::take(&mut self.doubtful) {
+            self.tried.swap_remove(&address);
+        }
+        true
+    }
 }
 
 /// Longest pause before another attempt that follows a second failure.
 const PAUSE_MAX: time::Duration = time::Duration::from_millis(25);
+/// Gates asked for one request at most.
+const ASKED_MAX: u32 = 16;
 /// Shortest time before a hedge.
 const HEDGE_MIN: time::Duration = time::Duration::from_millis(5);
 
 impl<C: clock::Clock> Entry<C> {
-    /// Returns the entry of a daemon with its own `gate`; `secret` is the fleet's.
+    /// Returns the entry of a daemon with its own `gate`.
     pub fn new(
         tables: sync::Arc<tables::Tables<C>>,
         gate: sync::Arc<gate::Gate<C>>,
-        secret: String,
+        identity: Identity,
     ) -> Self {
         let own = tables.members().own().daemon.clone();
-        Self { tables, gate, peers: peers::Peers::default(), own, secret }
+        Self { tables, gate, peers: peers::Peers::default(), own, identity }
     }
 
     /// Serves one caller's request; every outcome is an HTTP answer.
@@ -125,7 +183,8 @@
     fn accept(&self, request: http::Request<Incoming>) -> Result<Job, outcome::Refusal> {
         let now = self.tables.now();
         let (mut head, incoming) = request.into_parts();
-        let asked = head::Asked::read(&head)?;
+        let dialect = &self.identity.dialect;
+        let asked = head::Asked::read(&head, dialect)?;
         if !self.tables.is_current() {
             return Err(outcome::Refusal::NoPolicy);
         }
@@ -137,12 +196,13 @@
             asked.timeout.map_or(decision.route.deadline, |t| t.min(decision.route.deadline));
         let idempotent =
             decision.route.idempotent && !head.headers.contains_key(names::IDEMPOTENCY_KEY);
+        dialect.claim(&mut head.headers, &self.identity.service);
         hop::strip_own_headers(&mut head.headers);
         hop::strip_hop_headers(&mut head.headers);
         head::normalise(&mut head, &asked);
         let source = replay::Source::new(incoming, decision.service.stall);
         let policy = view.version;
-        Ok(Job { decision, policy, idempotent, head, source, deadline: now + wait })
+        Ok(Job { decision, policy, idempotent, head, source, arrived: now, deadline: now + wait })
     }
 
     fn check_rate(
@@ -156,17 +216,31 @@
         admitted.then_some(()).ok_or(outcome::Refusal::RateLimited)
     }
 
-    /// Serves a request to its final outcome. An answer that sheds load is replaced if another
+    /// Serves a request to its final outcome. A server error is replaced if another
     /// attempt gets a better one, and is the outcome otherwise.
     async fn serve(&self, job: &Job) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
         let service = &job.decision.service;
-        self.tables.with_traffic(&service.name, |t| t.budget.deposit(service.retry_ratio));
+        self.deposit(service);
         let mut progress = Progress::default();
         let mut shed = None;
         let outcome = self.attempts(job, &mut progress, &mut shed).await;
         outcome.or_else(|ended| shed.ok_or(ended))
     }
 
+    /// Counts a first attempt for the retry budget of its service.
+    fn deposit(&self, service: &service::Service) {
+        let daemons = service.retry_reserve.map(|reserve| {
+            let count = self.tables.members().live(self.tables.now()).count();
+            f64::from(reserve) / count.max(1) as f64
+        });
+        self.tables.with_traffic(&service.name, |traffic| {
+            traffic.budget.deposit(service.retry_ratio);
+            if let Some(share) = daemons {
+                traffic.budget.cap(share.max(1.0));
+            }
+        });
+    }
+
     /// Makes attempts until one is answered or another makes no sense.
     async fn attempts(
         &self,
@@ -180,40 +254,47 @@
                 Ok(first) => first,
                 // Every upstream has been tried: what the last one said is the answer, at once.
                 Err(refusal) => {
+                    if progress.insist() {
+                        continue;
+                    }
                     let refused = progress.last.unwrap_or(retry::Ended::NotRun(refusal));
                     return Err(progress.doubt.unwrap_or(refused));
                 }
             };
+            let address = first.candidate.id.address;
             let ended = match self.attempt(job, first, progress).await {
                 Ok(response) if self.may_replace(job, &response, progress) => {
                     *shed = Some(response);
+                    progress.note(retry::Ended::MayHaveRun(outcome::Failure::Shed));
                     continue;
                 }
                 Ok(response) => return Ok(response),
                 Err(ended) => ended,
             };
             progress.note(ended);
+            if ended == retry::Ended::NotRun(outcome::Refusal::Doubtful) {
+                progress.doubtful.push(address);
+            }
             if !self.wants_retry(job, ended, progress.attempts) {
                 // A refusal at the end proves nothing about an earlier attempt.
                 return Err(progress.doubt.unwrap_or(ended));
             }
             metrics::counter!("lynxmast_retries_total", "service" => service.name.to_string())
                 .increment(1);
-            if progress.attempts > 1 {
+            if progress.attempts > 1 && ended.reached_upstream() {
                 let pause = rand::rng().random_range(time::Duration::ZERO..PAUSE_MAX);
                 tokio::time::sleep(pause).await;
             }
         }
     }
 
-    /// Tells whether an answer by which a backend server sheds load is better replaced by another
-    /// attempt.
+    /// Tells whether a server error is better replaced by another attempt.
     fn may_replace<B>(&self, job: &Job, response: &http::Response<B>, progress: &Progress) -> bool {
         let shed = retry::Ended::MayHaveRun(outcome::Failure::Shed);
         let others = self.tables.router().candidates(&job.decision.service.name).len();
-        response.status() == http::StatusCode::SERVICE_UNAVAILABLE
+        response.status().is_server_error()
             && others > progress.tried.len()
-            && self.wants_retry(job, shed, progress.attempts)
+            && self.wants_retry(job, shed, progress.attempts + 1)
     }
 
     fn wants_retry(&self, job: &Job, ended: retry::Ended, attempts: u32) -> bool {
@@ -222,11 +303,13 @@
             idempotent: job.idempotent,
             replayable: job.source.is_replayable(),
             attempts,
+            attempts_max: job.decision.route.attempts,
             remaining: job.deadline.saturating_duration_since(self.tables.now()),
         };
         let service = &job.decision.service.name;
         retry::wants_retry(&situation)
-            && self.tables.with_traffic(service, |traffic| traffic.budget.withdraw())
+            && (!ended.reached_upstream()
+                || self.tables.with_traffic(service, |traffic| traffic.budget.withdraw()))
     }
 
     /// Makes one attempt, and a second in parallel when the first is unusually slow and the
@@ -237,14 +320,15 @@
         first: Outstanding<C>,
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
-        let mut running = std::pin::pin!(self.try_upstream(job, first));
+        let insists = progress.insists || job.is_expendable(progress);
+        let mut running = std::pin::pin!(self.try_upstream(job, first, insists));
         let Some(patience) = self.hedge_after(job) else { return running.await };
         if let Ok(done) = tokio::time::timeout(patience, &mut running).await {
             return done;
         }
         let Some(second) = self.pick_hedge(job, progress) else { return running.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge = std::pin::pin!(self.try_upstream(job, second));
+        let hedge = std::pin::pin!(self.try_upstream(job, second, insists));
         match futures::future::select(running, hedge).await {
             futures::future::Either::Left((Ok(response), _))
             | futures::future::Either::Right((Ok(response), _)) => Ok(response),
@@ -254,10 +338,15 @@
     }
 
     fn pick(&self, job: &Job, progress: &mut Progress) -> Result<Outstanding<C>, outcome::Refusal> {
+        if progress.asked >= ASKED_MAX {
+            return Err(outcome::Refusal::NoUpstream);
+        }
         let tried: Vec<_> = progress.tried.iter().copied().collect();
         let want = router::Want {
             service: &job.decision.service.name,
             floor: job.decision.service.floor,
+            floor_share: job.decision.service.floor_share,
+            repeatable: job.is_expendable(progress),
             tried: &tried,
             now: self.tables.now(),
         };
@@ -272,7 +361,7 @@
         drop(router);
         let candidate = picked.ok_or(outcome::Refusal::NoUpstream)?;
         progress.tried.insert(candidate.id.address);
-        progress.attempts += 1;
+        progress.asked += 1;
         Ok(Outstanding::new(self.tables.clone(), candidate))
     }
 
@@ -286,11 +375,13 @@
 
     fn pick_hedge(&self, job: &Job, progress: &mut Progress) -> Option<Outstanding<C>> {
         let service = &job.decision.service.name;
-        let possible = job.source.is_whole() && progress.attempts < retry::ATTEMPTS_MAX;
+        let possible = job.source.is_whole() && progress.attempts + 1 < job.decision.route.attempts;
         if !possible || !self.tables.with_traffic(service, |t| t.budget.withdraw()) {
             return None;
         }
-        self.pick(job, progress).ok()
+        let picked = self.pick(job, progress).ok()?;
+        progress.attempts += 1;
+        Some(picked)
     }
 }
 
--- a/crates/transport/src/entry/attempt.rs
+++ b/crates/transport/src/entry/attempt.rs
@@ -35,6 +35,7 @@
         &self,
         job: &entry::Job,
         mut outstanding: entry::Outstanding<C>,
+        insists: bool,
     ) -> Answer<C> {
         let started = self.tables.now();
         let envelope = envelope::Envelope {
@@ -42,7 +43,10 @@
             organisation: job.decision.organisation.clone(),
             left: job.deadline.saturating_duration_since(started),
             policy: job.policy,
-            idempotent: job.idempotent,
+            idempotent: job.may_resend(),
+            insists,
+            rank: job.decision.route.rank,
+            objective: job.objective_left(started),
         };
         let response = if outstanding.candidate.daemon == self.own {
             self.through_own_gate(job, &envelope, &mut outstanding).await
@@ -81,7 +85,7 @@
     ) -> Result<http::Response<Passed<C>>, retry::Ended> {
         let mut request = request(job);
         envelope.write(request.headers_mut());
-        if let Ok(secret) = HeaderValue::from_str(&self.secret) {
+        if let Ok(secret) = HeaderValue::from_str(&self.identity.secret) {
             request.headers_mut().insert(names::FLEET, secret);
         }
         let gate = outstanding.candidate.gate;
@@ -126,14 +130,17 @@
         if let Some(load) = verdict.load {
             self.tables.router().saw_load(id, load, now);
         }
+        if let Some(doubt) = verdict.doubt {
+            self.tables.router().saw_doubt(id, f64::from(doubt) / 100.0, now);
+        }
         if verdict.policy > self.tables.view().version {
             self.gate.catch_up.notify_one();
         }
         use outcome::Failure::{CallerGone, Deadline, Stalled};
-        use outcome::Refusal::{Draining, NoUpstream, Unreachable};
+        use outcome::Refusal::{Draining, Misdirected, NoUpstream, Unreachable};
         outstanding.will_end(match (verdict.ended, verdict.took) {
             (None, Some(took)) => router::Report::Answered { took, is_error },
-            (Some(retry::Ended::NotRun(Draining | NoUpstream | Unreachable)), _) => {
+            (Some(retry::Ended::NotRun(Draining | Misdirected | NoUpstream | Unreachable)), _) => {
                 router::Report::Unusable
             }
             (Some(retry::Ended::NotRun(_)), _) => router::Report::Refused,
--- a/crates/transport/src/entry/head.rs
+++ b/crates/transport/src/entry/head.rs
@@ -4,6 +4,7 @@
 
 use http::header;
 use http::uri;
+use lynxmast_protocol::dialect;
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
 use lynxmast_state::outcome;
@@ -27,7 +28,10 @@
     /// # Errors
     ///
     /// Refuses heads that a backend server might read in another way than the routes do.
-    pub fn read(head: &http::request::Parts) -> Result<Self, outcome::Refusal> {
+    pub fn read(
+        head: &http::request::Parts,
+        dialect: &dialect::Dialect,
+    ) -> Result<Self, outcome::Refusal> {
         let bad = outcome::Refusal::BadRequest;
         let headers = &head.headers;
         let is_connect = head.method == http::Method::CONNECT;
@@ -35,11 +39,12 @@
             return Err(bad);
         }
         let path = head.uri.path();
-        if !is_plain_path(path) {
+        if !dialect.raw_paths && !is_plain_path(path) {
             return Err(bad);
         }
         let key = optional(headers, names::KEY)?;
-        let timeout = optional(headers, names::TIMEOUT_MS)?.map(time::Duration::from_millis);
+        let timeout =
+            optional(headers, dialect.patience.as_str())?.map(time::Duration::from_millis);
         Ok(Self { host: host(head)?, path: path.to_owned(), key, timeout })
     }
 }
@@ -55,12 +60,12 @@
 
 fn optional<T: std::str::FromStr>(
     headers: &header::HeaderMap,
-    name: &'static str,
+    name: &str,
 ) -> Result<Option<T>, outcome::Refusal> {
     if !headers.contains_key(name) {
         return Ok(None);
     }
-    envelope::get(headers, name).map(Some).map_err(|_| outcome::Refusal::BadRequest)
+    envelope::single(headers, name).map(Some).ok_or(outcome::Refusal::BadRequest)
 }
 
 /// Returns the host, which the target and the `Host` header must agree on.
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -28,6 +28,11 @@
     pub returned_id: bool,
 }
 
+/// Bytes of an unwanted answer that are read to keep its connection.
+const DISCARDED_MAX: usize = 16 * 1024;
+/// Longest wait for the rest of an unwanted answer.
+const DISCARD_MAX: time::Duration = time::Duration::from_secs(1);
+
 /// Body that passes an answer on and ends the exchange with it.
 #[derive(Debug)]
 pub struct GateBody<C: clock::Clock> {
@@ -73,6 +78,21 @@
         GateBody { cell, timer: stalling::StallTimer::new(stall), is_whole }
     }
 
+    /// Reads the rest of an answer that nobody waits for, so that the connection can be used again.
+    pub fn discard(self) {
+        if self.incoming.is_end_stream() {
+            return self.finish();
+        }
+        tokio::spawn(async move {
+            let mut exchange = self;
+            let rest = http_body_util::Limited::new(&mut exchange.incoming, DISCARDED_MAX);
+            let rest = http_body_util::BodyExt::collect(rest);
+            if let Ok(Ok(_)) = tokio::time::timeout(DISCARD_MAX, rest).await {
+                exchange.finish();
+            }
+        });
+    }
+
     /// Ends the exchange after a whole answer.
     fn finish(self) {
         let Exchange { connection, slot, returned_id, incoming: _ } = self;
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -4,6 +4,7 @@
 //! server at most once. Whatever it refuses has not been handed over.
 
 mod announcements;
+mod departed;
 mod hand_over;
 
 use std::sync;
@@ -11,6 +12,7 @@
 use std::time;
 
 use indexmap::IndexMap;
+use lynxmast_protocol::dialect;
 use lynxmast_protocol::envelope;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
@@ -21,6 +23,7 @@
 use lynxmast_state::tables;
 
 use crate::body;
+use crate::doubt_trial;
 use crate::exchange;
 use crate::hop;
 use crate::pool;
@@ -34,10 +37,36 @@
     watch: exchange::Watch<C>,
     /// Asks the policy follower to look for a newer version now.
     pub catch_up: sync::Arc<tokio::sync::Notify>,
+    dialect: sync::Arc<dialect::Dialect>,
+    /// Time between heartbeats asked of backend servers.
+    heartbeat: time::Duration,
+    /// Time without heartbeat after which a backend server counts as gone.
+    lease: time::Duration,
+    departed: sync::Mutex<departed::Departed>,
     closing: atomic::AtomicBool,
     exchanges: atomic::AtomicU64,
 }
 
+/// How a gate and the backend servers beside it speak.
+#[derive(Debug, Clone)]
+pub struct Speech {
+    /// Headers of requests and answers.
+    pub dialect: sync::Arc<dialect::Dialect>,
+    /// Time between heartbeats of a backend server.
+    pub heartbeat: time::Duration,
+}
+
+/// Time between heartbeats asked of backend servers that do not set their own pace.
+const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
+/// Heartbeats after which a silent backend server counts as gone; one may be late by seconds.
+const MISSED_MAX: u32 = 4;
+
+impl Default for Speech {
+    fn default() -> Self {
+        Self { dialect: Default::default(), heartbeat: HEARTBEAT }
+    }
+}
+
 /// Result of one attempt.
 #[derive(Debug)]
 pub struct Attempted<C: clock::Clock> {
@@ -53,12 +82,16 @@
 
 impl<C: clock::Clock> Gate<C> {
     /// Returns a gate without upstreams.
-    pub fn new(tables: sync::Arc<tables::Tables<C>>) -> Self {
+    pub fn new(tables: sync::Arc<tables::Tables<C>>, speech: Speech) -> Self {
         Self {
             tables,
             upstreams: Default::default(),
             watch: exchange::Watch::default(),
             catch_up: Default::default(),
+            dialect: speech.dialect,
+            lease: speech.heartbeat * MISSED_MAX,
+            heartbeat: speech.heartbeat,
+            departed: Default::default(),
             closing: Default::default(),
             exchanges: atomic::AtomicU64::new(1),
         }
@@ -78,10 +111,11 @@
             Some(upstream) => self.attempt(envelope, upstream, request, &mut took).await,
         };
         let now = now.max(self.tables.now());
+        let doubt = upstream.as_ref().map(|upstream| upstream.doubt_percent(now));
         let load = upstream.map(|upstream| upstream.load(now));
         let ended = result.as_ref().err().copied();
         let policy = self.tables.view().version;
-        Attempted { result, verdict: envelope::Verdict { ended, load, took, policy } }
+        Attempted { result, verdict: envelope::Verdict { ended, load, took, doubt, policy } }
     }
 
     async fn attempt(
@@ -100,13 +134,34 @@
         if left.is_zero() {
             return Err(retry::Ended::NotRun(outcome::Refusal::DeadlineBeforeRun));
         }
-        let id = self.next_exchange();
-        let request = hand_over::prepare(request, left, &id);
+        let exchange = self.exchange_id(request.headers());
+        let instance = upstream.lease().instance;
+        let marks = hand_over::Marks {
+            dialect: &self.dialect,
+            exchange: &exchange,
+            instance: instance.as_deref(),
+        };
+        let request = hand_over::prepare(request, left, &marks);
         let no_body = *request.method() == http::Method::HEAD;
+        let mut trial = doubt_trial::Trial::start(upstream, started);
         let handed = self.await_answer(envelope, &slot, connection, request, deadline).await;
-        let (response, connection) = handed?;
+        let (response, mut connection) = handed.inspect_err(|ended| trial.failed(*ended))?;
         *took = Some(self.tables.now().saturating_duration_since(started));
-        let returned_id = hand_over::check_answer(&response, &connection, &id, no_body)?;
+        let checked = hand_over::check_answer(&response, &connection, &marks, no_body);
+        let returned_id = checked.inspect_err(|ended| trial.failed(*ended))?;
+        connection.heed_keep_alive(response.headers());
+        if let Some(refusal) = hand_over::not_run(&response, &marks) {
+            trial.ended(false);
+            let exchange = exchange::Exchange {
+                incoming: response.into_body(),
+                connection,
+                slot,
+                returned_id,
+            };
+            exchange.discard();
+            return Err(retry::Ended::NotRun(refusal));
+        }
+        trial.ended(!response.status().is_server_error());
         let (mut parts, incoming) = response.into_parts();
         hop::strip_hop_headers(&mut parts.headers);
         hop::strip_own_headers(&mut parts.headers);
@@ -175,6 +230,9 @@
         let weight = view.weight(&envelope.organisation);
         let organisation = envelope.organisation.clone();
         let arrival = admission::Arrival { organisation, weight, deadline };
+        if !envelope.insists && upstream.is_doubted(now) {
+            return Err(retry::Ended::NotRun(outcome::Refusal::Doubtful));
+        }
         let slot = upstream.admit(&arrival, now).await.map_err(retry::Ended::NotRun)?;
         Ok((slot, service.stall))
     }
@@ -207,6 +265,11 @@
         self.publish();
     }
 
+    /// Returns the headers spoken with callers and backend servers.
+    pub fn dialect(&self) -> sync::Arc<dialect::Dialect> {
+        self.dialect.clone()
+    }
+
     /// Tells whether the gate takes no new work.
     pub fn is_closing(&self) -> bool {
         self.closing.load(atomic::Ordering::Acquire)
@@ -241,6 +304,14 @@
         Ok(answer)
     }
 
+    /// Returns the id that ties the answer to the request: the caller's where callers choose it.
+    fn exchange_id(&self, headers: &http::HeaderMap) -> http::HeaderValue {
+        let callers = headers.get(&self.dialect.exchange).filter(|_| self.dialect.callers_id);
+        let own = || http::HeaderValue::from_str(&self.next_exchange()).ok();
+        let id = callers.cloned().or_else(own);
+        id.unwrap_or(http::HeaderValue::from_static(""))
+    }
+
     fn next_exchange(&self) -> String {
         let number = self.exchanges.fetch_add(1, atomic::Ordering::Relaxed);
         let incarnation = self.tables.members().own().incarnation;
--- a/crates/transport/src/gate/announcements.rs
+++ b/crates/transport/src/gate/announcements.rs
@@ -13,13 +13,9 @@
 use lynxmast_state::policy::service;
 
 use crate::gate;
+use crate::gate::departed;
 use crate::upstream;
 
-/// Time between heartbeats asked of backend servers.
-const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
-/// Time without heartbeat after which a backend server counts as gone.
-const LEASE: time::Duration = time::Duration::from_millis(3500);
-
 impl<C: clock::Clock> gate::Gate<C> {
     /// Takes an announcement or heartbeat of a backend server beside this daemon.
     ///
@@ -38,20 +34,36 @@
         if self.is_closing() {
             return Err("this daemon is shutting down".into());
         }
+        self.check_departed(announcement)?;
         let view = self.tables.view();
         let service = view
             .service(&announcement.service)
             .ok_or_else(|| format!("the policy has no service '{}' yet", announcement.service))?;
         let lease = upstream::Lease {
             incarnation: announcement.incarnation,
+            instance: announcement.instance.clone(),
+            sequence: announcement.sequence,
             slots: announcement.slots,
             renewed: self.tables.now(),
         };
         self.renew(announcement, lease, service)?;
-        let (lease_ms, heartbeat_ms) = (LEASE.as_millis() as u64, HEARTBEAT.as_millis() as u64);
+        let lease_ms = self.lease.as_millis() as u64;
+        let heartbeat_ms = self.heartbeat.as_millis() as u64;
         Ok(announce::Lease { lease_ms, heartbeat_ms })
     }
 
+    fn check_departed(&self, announcement: &announce::Announcement) -> Result<(), String> {
+        let Some(instance) = &announcement.instance else { return Ok(()) };
+        if self.departed().covers(instance, announcement.incarnation) {
+            return Err(format!("'{instance}' has announced its departure"));
+        }
+        Ok(())
+    }
+
+    fn departed(&self) -> sync::MutexGuard<'_, departed::Departed> {
+        self.departed.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn renew(
         &self,
         announcement: &announce::Announcement,
@@ -77,9 +89,13 @@
         if announcement.incarnation == old.incarnation && known.is_draining() {
             return Err("this incarnation has announced its departure".into());
         }
+        if announcement.incarnation == old.incarnation && lease.sequence < old.sequence {
+            return Err(format!("announcement {} is newer", old.sequence));
+        }
+        let (incarnation, slots) = (lease.incarnation, lease.slots);
         known.renew(lease);
-        if (old.incarnation, old.slots) != (lease.incarnation, lease.slots) {
-            known.set_limits(limits(service, lease.slots));
+        if (old.incarnation, old.slots) != (incarnation, slots) {
+            known.set_limits(limits(service, slots));
             self.publish();
         }
         Ok(())
@@ -91,6 +107,9 @@
     ///
     /// Says why a departure is refused.
     pub fn depart(&self, departure: &announce::Departure) -> Result<announce::Departing, String> {
+        if let Some(instance) = &departure.instance {
+            self.departed().note(instance, departure.incarnation);
+        }
         let id = ids::UpstreamId { service: departure.service.clone(), address: departure.address };
         let Some(upstream) = self.find(&id) else {
             return Ok(announce::Departing { in_flight: 0 });
@@ -107,12 +126,33 @@
         Ok(announce::Departing { in_flight })
     }
 
+    /// Takes the departure of a named backend server, known or not: whatever started before `now`
+    /// under that name takes no new work.
+    pub fn depart_instance(&self, instance: &ids::InstanceName, wall: time::SystemTime) {
+        let since_epoch = wall.duration_since(time::UNIX_EPOCH).unwrap_or_default();
+        let until = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        let is_meant = |upstream: &sync::Arc<upstream::Upstream<C>>| {
+            upstream.lease().instance.as_ref() == Some(instance)
+        };
+        let known: Vec<_> = self.upstreams().into_iter().filter(is_meant).collect();
+        let newest = known.iter().map(|upstream| upstream.lease().incarnation).max();
+        self.departed().note(instance, newest.unwrap_or(until));
+        let mut is_changed = false;
+        for upstream in known.iter().filter(|upstream| !upstream.is_draining()) {
+            upstream.drain();
+            is_changed = true;
+        }
+        if is_changed {
+            self.publish();
+        }
+    }
+
     /// Does what is due: lapsed leases, new limits, waiting requests, idle connections.
     pub fn tick(&self) {
         let now = self.tables.now();
         let view = self.tables.view();
         let lapsed = |upstream: &upstream::Upstream<C>| {
-            now.saturating_duration_since(upstream.lease().renewed) >= LEASE
+            now.saturating_duration_since(upstream.lease().renewed) >= self.lease
         };
         let mut gone = Vec::new();
         let mut is_changed = false;
--- a/crates/transport/src/gate/hand_over.rs
+++ b/crates/transport/src/gate/hand_over.rs
@@ -5,7 +5,7 @@
 use http::HeaderValue;
 use http::header;
 use hyper::body::Incoming;
-use lynxmast_protocol::header as names;
+use lynxmast_protocol::dialect;
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
@@ -21,18 +21,32 @@
 const SILENCE_FACTOR: u32 = 10;
 const SILENCE_MIN: time::Duration = time::Duration::from_millis(100);
 
+/// How a request is marked for its backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Marks<'a> {
+    /// Headers spoken.
+    pub dialect: &'a dialect::Dialect,
+    /// Id that the answer returns.
+    pub exchange: &'a HeaderValue,
+    /// Backend server that is meant.
+    pub instance: Option<&'a str>,
+}
+
 /// Replaces the fleet's headers by those meant for the backend server.
 pub fn prepare(
     mut request: http::Request<body::RequestBody>,
     left: time::Duration,
-    id: &str,
+    marks: &Marks<'_>,
 ) -> http::Request<body::RequestBody> {
     let headers = request.headers_mut();
     hop::strip_own_headers(headers);
     hop::strip_hop_headers(headers);
-    headers.insert(names::LEFT_US, HeaderValue::from(left.as_micros() as u64));
-    if let Ok(id) = HeaderValue::from_str(id) {
-        headers.insert(names::EXCHANGE, id);
+    marks.dialect.write_left(headers, left);
+    headers.insert(&marks.dialect.exchange, marks.exchange.clone());
+    if let (Some(name), Some(instance)) = (&marks.dialect.instance, marks.instance)
+        && let Ok(instance) = HeaderValue::from_str(instance)
+    {
+        headers.insert(name, instance);
     }
     *request.version_mut() = http::Version::HTTP_11;
     request
@@ -103,12 +117,12 @@
 pub fn check_answer(
     response: &http::Response<Incoming>,
     connection: &pool::Connection,
-    id: &str,
+    marks: &Marks<'_>,
     no_body: bool,
 ) -> Result<bool, retry::Ended> {
     let bad = Err(retry::Ended::MayHaveRun(outcome::Failure::BadAnswer));
     let headers = response.headers();
-    let returned = headers.get(names::EXCHANGE).map(|value| value.as_bytes() == id.as_bytes());
+    let returned = headers.get(&marks.dialect.exchange).map(|value| value == marks.exchange);
     let is_foreign = match returned {
         Some(same) => !same,
         None => connection.exchanges > 0,
@@ -119,10 +133,20 @@
         || status == http::StatusCode::NOT_MODIFIED;
     let length = headers.contains_key(header::CONTENT_LENGTH);
     let chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    let is_framed = bodiless || (length != chunked);
+    let unframed_ok = marks.dialect.unframed && !length && !chunked;
+    let is_framed = bodiless || unframed_ok || (length != chunked);
     if is_foreign || !is_framed || status == http::StatusCode::SWITCHING_PROTOCOLS {
         metrics::counter!("lynxmast_bad_answers_total").increment(1);
         return bad;
     }
     Ok(returned.is_some())
 }
+
+/// Tells whether an answer proves that the backend server has not run the request.
+pub fn not_run(response: &http::Response<Incoming>, marks: &Marks<'_>) -> Option<outcome::Refusal> {
+    let is_misdirected = response.status() == http::StatusCode::MISDIRECTED_REQUEST;
+    if is_misdirected && marks.dialect.instance.is_some() {
+        return Some(outcome::Refusal::Misdirected);
+    }
+    marks.dialect.says_not_run(response.headers()).then_some(outcome::Refusal::Shed)
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod body_error;
 pub mod client;
+pub mod doubt_trial;
 pub mod entry;
 pub mod exchange;
 pub mod gate;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -44,9 +44,27 @@
     pub exchanges: u32,
     /// Whether it has been idle since it was opened, and may have fallen silent meanwhile.
     pub was_idle: bool,
+    /// Idle time after which it is no longer trusted.
+    idle_max: time::Duration,
     _driver: Driver,
 }
 
+impl Connection {
+    /// Learns how long the backend server keeps the connection while it is idle.
+    pub fn heed_keep_alive(&mut self, headers: &http::HeaderMap) {
+        if let Some(kept) = headers.get("keep-alive").and_then(keep_alive_timeout) {
+            self.idle_max = kept.saturating_sub(KEEP_ALIVE_MARGIN).max(kept / 2);
+        }
+    }
+}
+
+/// Reads the `timeout` parameter of a `Keep-Alive` header.
+fn keep_alive_timeout(value: &http::HeaderValue) -> Option<time::Duration> {
+    let parameters = value.to_str().ok()?.split(',');
+    let mut timeouts = parameters.filter_map(|p| p.trim().strip_prefix("timeout="));
+    timeouts.next()?.trim().parse().ok().map(time::Duration::from_secs)
+}
+
 /// Ends the connection's task, and with it the connection, when dropped.
 #[derive(Debug)]
 struct Driver {
@@ -65,6 +83,8 @@
 /// Idle time after which a connection is no longer trusted to be alive; well below the time after
 /// which backend servers close idle connections themselves.
 const IDLE_MAX: time::Duration = time::Duration::from_secs(2);
+/// Time by which a connection is given up before the backend server closes it.
+const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// Size of the read buffer, which bounds an answer's head.
 const READ_BUFFER: usize = 64 * 1024;
 
@@ -127,7 +147,8 @@
 
     /// Closes connections that have been idle for too long.
     pub fn expire(&self, now: time::Instant) {
-        self.lock().retain(|idle| now.saturating_duration_since(idle.since) < IDLE_MAX);
+        self.lock()
+            .retain(|idle| now.saturating_duration_since(idle.since) < idle.connection.idle_max);
     }
 
     /// Opens a connection.
@@ -149,14 +170,20 @@
             let _ = driver.await;
         });
         let driver = Driver { task: task.abort_handle(), open: open.keep() };
-        Ok(Connection { sender, exchanges: 0, was_idle: false, _driver: driver })
+        Ok(Connection {
+            sender,
+            exchanges: 0,
+            was_idle: false,
+            idle_max: IDLE_MAX,
+            _driver: driver,
+        })
     }
 
     fn take_idle(&self) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.lock();
         while let Some(Idle { mut connection, since }) = idle.pop() {
-            let is_fresh = now.saturating_duration_since(since) < IDLE_MAX;
+            let is_fresh = now.saturating_duration_since(since) < connection.idle_max;
             if is_fresh && !connection.sender.is_closed() {
                 connection.was_idle = true;
                 return Some(connection);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::load;
 use lynxmast_state::outcome;
@@ -26,13 +27,18 @@
     clock: C,
     admission: sync::Mutex<admission::Admission<Option<Waker<C>>>>,
     lease: sync::Mutex<Lease>,
+    doubt: sync::Mutex<doubt::Doubt>,
 }
 
 /// What the backend server last announced.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Lease {
     /// Start of the backend server.
     pub incarnation: ids::Incarnation,
+    /// Name of this start, if it has one.
+    pub instance: Option<ids::InstanceName>,
+    /// Number of the last announcement of this start.
+    pub sequence: u64,
     /// Slots it announced, if it did.
     pub slots: Option<u32>,
     /// Time of the last announcement.
@@ -54,7 +60,8 @@
         let pool = sync::Arc::new(pool::Pool::new(id.address, clock.clone()));
         let admission = admission::Admission::new(limits, lease.renewed);
         let admission = sync::Mutex::new(admission);
-        Self { id, pool, clock, admission, lease: sync::Mutex::new(lease) }
+        let doubt = sync::Mutex::new(doubt::Doubt::new(lease.renewed));
+        Self { id, pool, clock, admission, lease: sync::Mutex::new(lease), doubt }
     }
 
     /// Returns slots in use, waiting requests and open slots.
@@ -74,18 +81,48 @@
 
     /// Returns what was last announced.
     pub fn lease(&self) -> Lease {
-        *lock(&self.lease)
+        lock(&self.lease).clone()
     }
 
     /// Renews the lease; a newer start begins a new ramp.
     pub fn renew(&self, lease: Lease) {
+        let (incarnation, renewed) = (lease.incarnation, lease.renewed);
         let old = std::mem::replace(&mut *lock(&self.lease), lease);
-        if lease.incarnation > old.incarnation {
-            lock(&self.admission).restart(lease.renewed);
+        if incarnation > old.incarnation {
+            lock(&self.admission).restart(renewed);
+            *lock(&self.doubt) = doubt::Doubt::new(renewed);
             self.pool.clear();
         }
     }
 
+    /// Reads the clock of the gate.
+    pub fn now(&self) -> time::Instant {
+        self.clock.now()
+    }
+
+    /// Takes the result of a request as evidence on whether the upstream is failing.
+    pub fn record_result(&self, worked: bool) {
+        let now = self.clock.now();
+        let mut doubt = lock(&self.doubt);
+        let before = doubt.is_serious(now);
+        doubt.record(worked, now);
+        let after = doubt.is_serious(now);
+        if before != after {
+            let likelihood = doubt.likelihood(now);
+            log::info!(event = "doubt", upstream:% = self.id, is_doubted = after, likelihood; "");
+        }
+    }
+
+    /// Tells whether the upstream is likely to be failing.
+    pub fn is_doubted(&self, now: time::Instant) -> bool {
+        lock(&self.doubt).is_serious(now)
+    }
+
+    /// Returns the likelihood that the upstream is failing, in percent.
+    pub fn doubt_percent(&self, now: time::Instant) -> u8 {
+        (lock(&self.doubt).likelihood(now) * 100.0).round() as u8
+    }
+
     /// Returns the limits in force.
     pub fn limits(&self) -> admission::Limits {
         lock(&self.admission).limits()
