Serve first what can still meet its objective; bound doubt, lines and departures

With trusted upstreams full, requests that must not be repeated went to doubted ones and failed (11% of checkouts). A daemon that got SIGTERM took no work for three seconds before its entry closed.

Change: a pure module urgency orders waiting requests: those that can still meet their objective first, by rank; few late ones are kept. A request goes to a doubted upstream only below a likelihood of 0.6. Shedding lowers an upstream's place in routing only. Retry budgets save up what the window allows. A leaving daemon runs what reaches its gate until the fleet has heard. Log lines go through a bounded queue to a thread of their own; requests and attempts that fail leave one line each.

--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -75,7 +75,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.tables.is_current() && !self.gate.is_closing()
+        self.tables.is_current() && !self.gate.is_leaving()
     }
 
     fn answer(&self, path: &str) -> (http::StatusCode, Bytes) {
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -71,10 +71,12 @@
     },
 }
 
-/// Time that a departure takes to reach every entry; until then the gate answers them.
-const DEPARTURE_SPREAD: time::Duration = time::Duration::from_secs(3);
-/// Time that callers get to see that the daemon is not ready before its entry closes.
-const NOT_READY_NOTICE: time::Duration = time::Duration::from_secs(1);
+/// Time that a departure takes to reach nearly every entry; until then the gate still runs what
+/// they send.
+const DEPARTURE_SPREAD: time::Duration = time::Duration::from_millis(1500);
+/// Time that callers get to see that the daemon is not ready before its entry closes: readiness is
+/// asked once a second, and two misses count.
+const NOT_READY_NOTICE: time::Duration = time::Duration::from_millis(2500);
 /// Part of the time for a shutdown that requests in flight get; the rest is for the process to end
 /// before it is killed.
 const SHUTDOWN_SHARE: f64 = 0.9;
@@ -252,17 +254,18 @@
         });
     }
 
-    /// Shuts down: refuses new work, tells the fleet, and waits for what is in flight until the
-    /// limit of the settings.
+    /// Shuts down: tells the fleet, lets callers see that the daemon is not ready, refuses new work,
+    /// and waits for what is in flight until the limit of the settings.
     pub async fn shutdown(&self) -> Shutdown {
-        log::info!("shutdown started");
+        log::info!(event = "stopping"; "shutdown started");
         self.tables.event(event::Kind::ShutdownStarted);
-        self.gate.close();
+        self.gate.announce_close();
         self.tables.members().update_own(|own| own.leaving = true);
         let limit = self.limits.shutdown.mul_f64(SHUTDOWN_SHARE);
         let finished = tokio::time::timeout(limit, self.finish_requests()).await;
         let in_flight = self.gate.in_flight();
         self.tables.event(event::Kind::Stopped);
+        log::info!(event = "stopped", in_flight; "shutdown ended");
         self.stop.cancel();
         self.entry_stop.cancel();
         match finished {
@@ -272,14 +275,18 @@
     }
 
     async fn finish_requests(&self) {
-        let spread = tokio::time::sleep(DEPARTURE_SPREAD);
+        let gate = async {
+            // Until every entry has heard, work that comes is run, as it could wait nowhere else.
+            tokio::time::sleep(DEPARTURE_SPREAD).await;
+            self.gate.close();
+        };
         let entry = async {
             tokio::time::sleep(NOT_READY_NOTICE).await;
             self.entry_stop.cancel();
             self.entry_tasks.close();
             self.entry_tasks.wait().await;
         };
-        tokio::join!(spread, entry);
+        tokio::join!(gate, entry);
         while self.gate.in_flight() > 0 {
             tokio::time::sleep(SHUTDOWN_STEP).await;
         }
--- a/crates/lynxmastd/src/lib.rs
+++ b/crates/lynxmastd/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod daemon;
+pub mod line_queue;
 pub mod logging;
 pub mod on_store;
 pub mod platform;
--- a/crates/lynxmastd/src/logging.rs
+++ b/crates/lynxmastd/src/logging.rs
@@ -1,22 +1,31 @@
-//! Log lines with key-value pairs on standard error, at the level that `RUST_LOG` names.
+//! Log lines with key-value pairs on standard output, at the level that `RUST_LOG` names.
 
 use std::io::Write;
 
 use env_logger::fmt;
 use log::kv;
 
+use crate::line_queue;
+
 /// Levels unless `RUST_LOG` says otherwise; the RPC library would write lines for each message.
 const DEFAULT_FILTER: &str = "info,tarpc=warn";
 
-/// Starts logging.
-pub fn start() {
+/// Starts logging; the result waits for lines on their way at the end of the process.
+///
+/// # Errors
+///
+/// Fails when the system starts no thread for the lines.
+pub fn start() -> std::io::Result<line_queue::Waiting> {
     let env = env_logger::Env::default().default_filter_or(DEFAULT_FILTER);
-    env_logger::Builder::from_env(env).format(write_line).init();
+    let (queue, waiting) = line_queue::LineQueue::start(std::io::stdout())?;
+    let target = env_logger::Target::Pipe(Box::new(queue));
+    env_logger::Builder::from_env(env).format(write_line).target(target).init();
+    Ok(waiting)
 }
 
 fn write_line(out: &mut fmt::Formatter, record: &log::Record<'_>) -> std::io::Result<()> {
     let time = out.timestamp_millis();
-    write!(out, "{time} {} {} {}", record.level(), record.target(), record.args())?;
+    write!(out, "{time} {} {}", record.level(), record.args())?;
     // Pairs that cannot be written leave the rest of the line intact.
     let _ = record.key_values().visit(&mut Pairs { out });
     writeln!(out)
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -54,7 +54,13 @@
         println!("{}: settings of daemon '{}' are good", file.display(), settings.name);
         return process::ExitCode::SUCCESS;
     }
-    logging::start();
+    let lines = match logging::start() {
+        Ok(lines) => lines,
+        Err(error) => {
+            eprintln!("lynxmastd: cannot start the thread for log lines: {error}");
+            return process::ExitCode::from(EXIT_START);
+        }
+    };
     let runtime = match runtime() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -64,6 +70,7 @@
     };
     let code = runtime.block_on(run(settings));
     runtime.shutdown_background();
+    lines.flush();
     code
 }
 
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -8,6 +8,7 @@
 use http::header::HeaderMap;
 use http::header::HeaderName;
 use http::header::HeaderValue;
+use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::load;
 use lynxmast_state::outcome;
@@ -28,11 +29,12 @@
     pub policy: ids::PolicyVersion,
     /// Whether the gate may send the request a second time, on a new connection.
     pub idempotent: bool,
-    /// Whether to run the request even if the gate doubts the upstream.
-    pub insists: bool,
+    /// How doubted the upstream may be.
+    pub risk: doubt::Risk,
     /// Rank of the route; 0 is the most urgent.
     pub rank: u32,
-    /// Time until an answer is worth less to the caller; `None` if it is already.
+    /// Time until an answer is worth less to the caller, zero if it is already; `None` if that
+    /// does not depend on time.
     pub objective: Option<time::Duration>,
 }
 
@@ -62,7 +64,7 @@
     ///     left: Duration::from_millis(250),
     ///     policy: 7,
     ///     idempotent: false,
-    ///     insists: false,
+    ///     risk: Default::default(),
     ///     rank: 0,
     ///     objective: None,
     /// };
@@ -77,8 +79,8 @@
         put(headers, header::LEFT_US, &self.left.as_micros().to_string());
         put(headers, header::POLICY, &self.policy.to_string());
         put(headers, header::IDEMPOTENT, &self.idempotent.to_string());
-        if self.insists {
-            put(headers, header::INSISTS, "true");
+        if self.risk != doubt::Risk::Avoid {
+            put(headers, header::RISK, self.risk.word());
         }
         if self.rank > 0 {
             put(headers, header::RANK, &self.rank.to_string());
@@ -103,7 +105,7 @@
             left: time::Duration::from_micros(get(headers, header::LEFT_US)?),
             policy: get(headers, header::POLICY)?,
             idempotent: get(headers, header::IDEMPOTENT)?,
-            insists: headers.contains_key(header::INSISTS),
+            risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
             objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
         })
@@ -167,6 +169,12 @@
 }
 
 /// Sets a header whose value is known to be printable; other values are left out.
+/// Reads the risk; a daemon of another release may name one that is not known here.
+fn read_risk(headers: &HeaderMap) -> doubt::Risk {
+    let word: Option<String> = single(headers, header::RISK);
+    word.and_then(|word| doubt::Risk::from_word(&word)).unwrap_or_default()
+}
+
 fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         headers.insert(HeaderName::from_static(name), value);
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -32,8 +32,8 @@
 /// Entry to gate: `true` if the request may be run more than once.
 pub const IDEMPOTENT: &str = "lynxmast-idempotent";
 
-/// Entry to gate: present if the request is to run even at an upstream that the gate doubts.
-pub const INSISTS: &str = "lynxmast-insists";
+/// Entry to gate: how doubted the upstream may be, absent for not at all.
+pub const RISK: &str = "lynxmast-risk";
 /// Entry to gate: rank of the route, absent for the most urgent.
 pub const RANK: &str = "lynxmast-rank";
 /// Entry to gate: microseconds until an answer is worth less to the caller.
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::latency;
 use crate::load;
 use crate::outcome;
+use crate::urgency;
 
 /// Limits of one upstream, from policy and announcement.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,6 +31,8 @@
     pub weight: u32,
     /// Time at which the request is no longer worth running.
     pub deadline: time::Instant,
+    /// How urgent it is among the requests of its organisation.
+    pub urgency: urgency::Urgency,
 }
 
 /// Answer to an arrival. `T` is what the shell needs to wake a waiting request.
@@ -87,6 +90,7 @@
 ///     organisation: "mailers".into(),
 ///     weight: 1,
 ///     deadline: now + second,
+///     urgency: Default::default(),
 /// };
 /// let fair = admission::Class::Fair;
 /// assert_eq!(admission.offer(&arrival, 'a', now), admission::Offer::Run('a', fair));
@@ -114,11 +118,14 @@
 struct Waiting<T> {
     ticket: Ticket,
     until: time::Instant,
+    urgency: urgency::Urgency,
     item: T,
 }
 
 /// Time after which a grant counts half towards the slots kept for fair organisations.
 const FAIR_HALF_LIFE: time::Duration = time::Duration::from_secs(1);
+/// Requests for each slot that may wait though they are late for their objective.
+const LATE_PER_SLOT: u32 = 2;
 const SERVICE_TIME_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
 
 impl<T> Admission<T> {
@@ -188,7 +195,7 @@
             return Offer::Run(item, class);
         }
         let allowed = self.limits.max_wait.min(arrival.deadline - now);
-        if self.expected_wait(arrival, now) > allowed {
+        if !self.is_worth_waiting(arrival, allowed, now) {
             return Offer::Refuse(item, outcome::Refusal::WaitTooLong);
         }
         self.enqueue(arrival, item, now, now + allowed)
@@ -203,7 +210,7 @@
     ) -> Offer<T> {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let waiting = Waiting { ticket, until, item };
+        let waiting = Waiting { ticket, until, urgency: arrival.urgency, item };
         match self.queue.push(&arrival.organisation, arrival.weight, waiting, now) {
             fair_queue::Push::Queued => Offer::Wait { ticket, until, displaced: None },
             fair_queue::Push::Replaced(old) => {
@@ -234,7 +241,9 @@
             if !self.has_slot(class, now) {
                 break;
             }
-            let Some(waiting) = self.queue.pop() else { break };
+            let mean = self.service_time().unwrap_or_default();
+            let next = self.queue.pop_first_by(|waiting| waiting.urgency.order(mean, now));
+            let Some(waiting) = next else { break };
             if waiting.until <= now {
                 steps.push(Step::Refuse(waiting.item, outcome::Refusal::WaitTooLong));
                 continue;
@@ -303,11 +312,29 @@
         }
     }
 
-    fn expected_wait(&self, arrival: &Arrival, now: time::Instant) -> time::Duration {
-        let Some(mean) = self.service_time.value() else { return time::Duration::ZERO };
-        let ahead = self.queue.ahead_of(&arrival.organisation, arrival.weight) + 1;
-        let turns = ahead as f64 / f64::from(self.open_slots(now));
-        time::Duration::from_secs_f64(turns * mean)
+    /// Tells whether a request can expect a slot within `allowed`. One that is late for its
+    /// objective waits behind those that are not, so few of them are kept.
+    fn is_worth_waiting(
+        &self,
+        arrival: &Arrival,
+        allowed: time::Duration,
+        now: time::Instant,
+    ) -> bool {
+        let Some(mean) = self.service_time() else { return true };
+        let own = arrival.urgency.order(mean, now);
+        let is_before = |waiting: &Waiting<T>| waiting.urgency.order(mean, now) <= own;
+        let ahead = self.queue.ahead_of(&arrival.organisation, arrival.weight, is_before) + 1;
+        let wait = mean.mul_f64(ahead as f64 / f64::from(self.open_slots(now)));
+        if wait > allowed {
+            return false;
+        }
+        let end = now + wait + mean;
+        if arrival.urgency.is_met_by(end) {
+            return true;
+        }
+        let is_late = |waiting: &Waiting<T>| !waiting.urgency.is_met_by(now + mean);
+        let late_max = (LATE_PER_SLOT * self.open_slots(now)) as usize;
+        end <= arrival.deadline && self.queue.count(is_late) < late_max
     }
 }
 
--- a/crates/state/src/admission/tests.rs
+++ b/crates/state/src/admission/tests.rs
@@ -12,7 +12,12 @@
 }
 
 fn arrival(now: time::Instant) -> Arrival {
-    Arrival { organisation: "a".into(), weight: 1, deadline: now + SECOND }
+    Arrival {
+        organisation: "a".into(),
+        weight: 1,
+        deadline: now + SECOND,
+        urgency: Default::default(),
+    }
 }
 
 #[test]
--- a/crates/state/src/doubt.rs
+++ b/crates/state/src/doubt.rs
@@ -6,6 +6,41 @@
 
 use std::time;
 
+/// How doubted an upstream may be for a request to run there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Risk {
+    /// Only where nothing speaks against the upstream.
+    #[default]
+    Avoid,
+    /// Unless the upstream is more likely failing than not: no other one takes the request.
+    Accept,
+    /// Anywhere: another attempt may follow, and the gate learns from this one.
+    Probe,
+}
+
+impl Risk {
+    /// Returns the word for the risk header.
+    pub fn word(self) -> &'static str {
+        match self {
+            Risk::Avoid => "avoid",
+            Risk::Accept => "accept",
+            Risk::Probe => "probe",
+        }
+    }
+
+    /// Parses a risk word.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::doubt;
+    /// assert_eq!(doubt::Risk::from_word("probe"), Some(doubt::Risk::Probe));
+    /// ```
+    pub fn from_word(word: &str) -> Option<Self> {
+        [Risk::Avoid, Risk::Accept, Risk::Probe].into_iter().find(|risk| risk.word() == word)
+    }
+}
+
 /// Belief about one upstream.
 ///
 /// # Examples
@@ -39,6 +74,8 @@
 const SERIOUS: f64 = 0.2;
 /// Likelihood that further results do not raise, so that a recovered upstream is found soon.
 const LIKELIHOOD_MAX: f64 = 0.98;
+/// Likelihood from which even a request that found no other upstream is not run.
+const HOPELESS: f64 = 0.6;
 /// Age at which half of a belief has given way to the prior.
 const HALF_LIFE: time::Duration = time::Duration::from_secs(3);
 
@@ -48,6 +85,15 @@
         Self { likelihood: PRIOR, at: now }
     }
 
+    /// Tells whether a request may run at the upstream.
+    pub fn allows(&self, risk: Risk, now: time::Instant) -> bool {
+        match risk {
+            Risk::Avoid => !self.is_serious(now),
+            Risk::Accept => self.likelihood(now) < HOPELESS,
+            Risk::Probe => true,
+        }
+    }
+
     /// Returns a belief that was heard from a gate.
     pub fn heard(likelihood: f64, now: time::Instant) -> Self {
         Self { likelihood: likelihood.clamp(0.0, 1.0), at: now }
--- a/crates/state/src/fair_queue.rs
+++ b/crates/state/src/fair_queue.rs
@@ -90,9 +90,16 @@
         self.capacity = capacity;
     }
 
-    /// Returns how many entries are served before a new one of `organisation` at most.
-    pub fn ahead_of(&self, organisation: &str, weight: u32) -> usize {
-        let own = self.flows.get(organisation).map_or(0, |flow| flow.waiting.len());
+    /// Returns how many entries are served before a new one of `organisation` at most, where
+    /// `is_before` tells which of its own entries are.
+    pub fn ahead_of(
+        &self,
+        organisation: &str,
+        weight: u32,
+        is_before: impl Fn(&T) -> bool,
+    ) -> usize {
+        let waiting = self.flows.get(organisation).map(|flow| flow.waiting.iter());
+        let own = waiting.into_iter().flatten().filter(|item| is_before(item)).count();
         let turns = (own + 1) as f64 / f64::from(weight.max(1));
         let others = self.flows.iter().filter(|(name, _)| &***name != organisation);
         let served_before = |flow: &Flow<T>| {
@@ -164,12 +171,25 @@
         waiting.map(|flow| flow.position(self.earned)).min_by(f64::total_cmp)
     }
 
-    /// Takes the entry to serve next.
+    /// Returns the number of entries for which `holds`.
+    pub fn count(&self, holds: impl Fn(&T) -> bool) -> usize {
+        let waiting = self.flows.values().flat_map(|flow| flow.waiting.iter());
+        waiting.filter(|item| holds(item)).count()
+    }
+
+    /// Takes the entry to serve next, the oldest of its organisation.
     pub fn pop(&mut self) -> Option<T> {
+        self.pop_first_by(|_| ())
+    }
+
+    /// Takes the entry to serve next: of the organisation whose turn it is, the oldest among those
+    /// with the smallest key.
+    pub fn pop_first_by<K: Ord>(&mut self, key: impl Fn(&T) -> K) -> Option<T> {
         let earned = self.earned;
         let waiting = self.flows.values_mut().filter(|flow| !flow.waiting.is_empty());
         let next = waiting.min_by(|a, b| a.position(earned).total_cmp(&b.position(earned)))?;
-        let item = next.waiting.pop_front()?;
+        let (first, _) = next.waiting.iter().enumerate().min_by_key(|(_, item)| key(item))?;
+        let item = next.waiting.remove(first)?;
         next.charge(earned);
         self.length -= 1;
         self.forgive();
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod router;
 pub mod tables;
 pub mod token_bucket;
+pub mod urgency;
 pub mod usage;
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -201,9 +201,9 @@
         match report {
             Report::Answered { took, is_error } => {
                 upstream.note_time(took, now);
-                if upstream.doubt.is_none() {
-                    upstream.trouble.record(f64::from(u8::from(is_error)), now);
-                }
+                // Errors are the gate's evidence where it tells what it believes.
+                let is_trouble = is_error && upstream.doubt.is_none();
+                upstream.trouble.record(f64::from(u8::from(is_trouble)), now);
                 upstream.path.worked();
                 false
             }
--- /dev/null
+++ b/crates/state/src/urgency/tests.rs
@@ -0,0 +1,93 @@
+//! A burst that outlasts the objective, at one upstream with a virtual clock.
+
+use super::*;
+use crate::admission;
+use crate::outcome;
+
+const MEAN: time::Duration = time::Duration::from_millis(250);
+const OBJECTIVE: time::Duration = time::Duration::from_millis(800);
+const DEADLINE: time::Duration = time::Duration::from_secs(4);
+const SLOTS: u32 = 4;
+
+/// Offers `per_second` requests of two ranks for ten seconds to one upstream, and returns the
+/// shares of each rank that were answered within the objective.
+fn in_time(per_second: f64, limits: admission::Limits) -> [f64; 2] {
+    let start = time::Instant::now();
+    let mut admission = admission::Admission::new(limits, start);
+    let mut running: Vec<(time::Instant, admission::Class, usize, time::Instant)> = Vec::new();
+    let (mut asked, mut met) = ([0_u32; 2], [0_u32; 2]);
+    let arrivals = (10.0 * per_second) as usize;
+    for number in 0..arrivals {
+        let now = start + time::Duration::from_secs_f64(number as f64 / per_second);
+        finish(&mut admission, &mut running, now, &mut met);
+        let rank = number % 2;
+        asked[rank] += 1;
+        let arrival = admission::Arrival {
+            organisation: "public".into(),
+            weight: 1,
+            deadline: now + DEADLINE,
+            urgency: Urgency { rank: rank as u32, objective: Some(now + OBJECTIVE) },
+        };
+        if let admission::Offer::Run((rank, arrived), class) =
+            admission.offer(&arrival, (rank, now), now)
+        {
+            running.push((now + MEAN, class, rank, arrived));
+        }
+    }
+    finish(
+        &mut admission,
+        &mut running,
+        start + 2 * DEADLINE + time::Duration::from_secs(10),
+        &mut met,
+    );
+    [0, 1].map(|rank| f64::from(met[rank]) / f64::from(asked[rank]))
+}
+
+type Running = Vec<(time::Instant, admission::Class, usize, time::Instant)>;
+
+fn finish(
+    admission: &mut admission::Admission<(usize, time::Instant)>,
+    running: &mut Running,
+    until: time::Instant,
+    met: &mut [u32; 2],
+) {
+    loop {
+        let next = running.iter().enumerate().min_by_key(|(_, (end, ..))| *end);
+        let Some((index, &(end, class, rank, arrived))) = next.filter(|(_, r)| r.0 <= until) else {
+            return;
+        };
+        running.swap_remove(index);
+        met[rank] += u32::from(end - arrived <= OBJECTIVE);
+        admission.finish(class, Some(MEAN), end);
+        for step in admission.ready(end) {
+            match step {
+                admission::Step::Run((rank, arrived), class) => {
+                    running.push((end + MEAN, class, rank, arrived));
+                }
+                admission::Step::Refuse(_, refusal) => {
+                    assert_eq!(refusal, outcome::Refusal::WaitTooLong);
+                }
+            }
+        }
+    }
+}
+
+fn limits() -> admission::Limits {
+    let max_wait = time::Duration::from_secs(2);
+    admission::Limits { slots: SLOTS, queue: 64, max_wait, ramp: time::Duration::ZERO }
+}
+
+#[test]
+fn a_long_burst_keeps_the_slots_on_answers_in_time() {
+    let capacity = f64::from(SLOTS) / MEAN.as_secs_f64();
+    let [urgent, other] = in_time(1.5 * capacity, limits());
+    let useful = (urgent + other) / 2.0 * 1.5;
+    assert!(useful > 0.85, "only {useful:.2} of what the slots can run was in time");
+    assert!(urgent > other, "{urgent:.2} {other:.2}");
+}
+
+#[test]
+fn without_overload_everything_is_in_time() {
+    let capacity = f64::from(SLOTS) / MEAN.as_secs_f64();
+    assert_eq!(in_time(0.9 * capacity, limits()), [1.0, 1.0]);
+}
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -13,6 +13,7 @@
 use lynxmast_protocol::dialect;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
+use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
 use lynxmast_state::policy::service;
@@ -66,6 +67,12 @@
 }
 
 impl Job {
+    /// The caller's id of the request, or `-`.
+    fn id(&self, dialect: &dialect::Dialect) -> &str {
+        let id = self.head.headers.get(&dialect.exchange).and_then(|id| id.to_str().ok());
+        id.unwrap_or("-")
+    }
+
     /// Tells whether a gate may send the request a second time. A budget that the whole fleet
     /// shares does not know of such sends, so that services with one go without.
     fn may_resend(&self) -> bool {
@@ -77,12 +84,20 @@
         self.idempotent && progress.attempts + 1 < self.decision.route.attempts
     }
 
-    /// Time until an answer is worth less to the caller; `None` if it is already, or none is
-    /// stated.
+    /// How doubted the next upstream may be.
+    fn risk(&self, progress: &Progress) -> doubt::Risk {
+        match (self.is_expendable(progress), progress.insists) {
+            (true, _) => doubt::Risk::Probe,
+            (false, true) => doubt::Risk::Accept,
+            (false, false) => doubt::Risk::Avoid,
+        }
+    }
+
+    /// Time until an answer is worth less to the caller; `None` if no objective is stated.
     fn objective_left(&self, now: time::Instant) -> Option<time::Duration> {
         let objective = self.decision.route.objective;
         let until = Some(self.arrived + objective).filter(|_| !objective.is_zero())?;
-        until.checked_duration_since(now)
+        Some(until.saturating_duration_since(now))
     }
 }
 
@@ -153,12 +168,16 @@
         let job = match self.accept(request) {
             Ok(job) => job,
             Err(refusal) => {
+                log::info!(event = "request", reason = refusal.word(); "not accepted");
                 count("", outcome::Outcome::NotRun(refusal));
                 return reply::to_caller(outcome::Outcome::NotRun(refusal));
             }
         };
         let service = job.decision.service.name.clone();
-        match self.serve(&job).await {
+        let mut progress = Progress::default();
+        let served = self.serve(&job, &mut progress).await;
+        self.log_end(&job, &progress, &served);
+        match served {
             Ok(mut response) => {
                 let answered = outcome::Outcome::Answered;
                 count(&service, answered);
@@ -218,26 +237,59 @@
 
     /// Serves a request to its final outcome. A server error is replaced if another
     /// attempt gets a better one, and is the outcome otherwise.
-    async fn serve(&self, job: &Job) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
+    async fn serve(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+    ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
         let service = &job.decision.service;
         self.deposit(service);
-        let mut progress = Progress::default();
         let mut shed = None;
-        let outcome = self.attempts(job, &mut progress, &mut shed).await;
+        let outcome = self.attempts(job, progress, &mut shed).await;
         outcome.or_else(|ended| shed.ok_or(ended))
     }
 
+    /// Writes one line on a request that was not answered well, with what decided it.
+    fn log_end<B>(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        served: &Result<http::Response<B>, retry::Ended>,
+    ) {
+        let (outcome, status) = match served {
+            Ok(response) if !response.status().is_server_error() => return,
+            Ok(response) => (outcome::Outcome::Answered, response.status().as_u16()),
+            Err(ended) => (ended.outcome(), 0),
+        };
+        let now = self.tables.now();
+        log::info!(
+            event = "request",
+            id = job.id(&self.identity.dialect),
+            service = &*job.decision.service.name,
+            route = &*job.decision.route.path,
+            policy = job.policy,
+            outcome = outcome.word(),
+            reason = outcome.reason(),
+            status,
+            attempts = progress.attempts,
+            asked = progress.asked,
+            took_ms = now.saturating_duration_since(job.arrived).as_millis() as u64,
+            left_ms = job.deadline.saturating_duration_since(now).as_millis() as u64;
+            "not served"
+        );
+    }
+
     /// Counts a first attempt for the retry budget of its service.
     fn deposit(&self, service: &service::Service) {
-        let daemons = service.retry_reserve.map(|reserve| {
-            let count = self.tables.members().live(self.tables.now()).count();
-            f64::from(reserve) / count.max(1) as f64
+        let now = self.tables.now();
+        let shared = service.retry_reserve.map(|reserve| retry::Shared {
+            ratio: service.retry_ratio,
+            reserve,
+            daemons: self.tables.members().live(now).count(),
         });
-        self.tables.with_traffic(&service.name, |traffic| {
-            traffic.budget.deposit(service.retry_ratio);
-            if let Some(share) = daemons {
-                traffic.budget.cap(share.max(1.0));
-            }
+        self.tables.with_traffic(&service.name, |traffic| match shared {
+            Some(shared) => traffic.budget.deposit_shared(&shared, now),
+            None => traffic.budget.deposit(service.retry_ratio),
         });
     }
 
@@ -261,7 +313,8 @@
                     return Err(progress.doubt.unwrap_or(refused));
                 }
             };
-            let address = first.candidate.id.address;
+            let (address, gate) = (first.candidate.id.address, first.candidate.gate);
+            let started = self.tables.now();
             let ended = match self.attempt(job, first, progress).await {
                 Ok(response) if self.may_replace(job, &response, progress) => {
                     *shed = Some(response);
@@ -272,6 +325,16 @@
                 Err(ended) => ended,
             };
             progress.note(ended);
+            log::info!(
+                event = "attempt",
+                id = job.id(&self.identity.dialect),
+                upstream:% = address,
+                gate:% = gate,
+                outcome = ended.outcome().word(),
+                reason = ended.outcome().reason(),
+                took_ms = self.tables.now().saturating_duration_since(started).as_millis() as u64;
+                "attempt ended"
+            );
             if ended == retry::Ended::NotRun(outcome::Refusal::Doubtful) {
                 progress.doubtful.push(address);
             }
@@ -320,15 +383,15 @@
         first: Outstanding<C>,
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
-        let insists = progress.insists || job.is_expendable(progress);
-        let mut running = std::pin::pin!(self.try_upstream(job, first, insists));
+        let risk = job.risk(progress);
+        let mut running = std::pin::pin!(self.try_upstream(job, first, risk));
         let Some(patience) = self.hedge_after(job) else { return running.await };
         if let Ok(done) = tokio::time::timeout(patience, &mut running).await {
             return done;
         }
         let Some(second) = self.pick_hedge(job, progress) else { return running.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge = std::pin::pin!(self.try_upstream(job, second, insists));
+        let hedge = std::pin::pin!(self.try_upstream(job, second, risk));
         match futures::future::select(running, hedge).await {
             futures::future::Either::Left((Ok(response), _))
             | futures::future::Either::Right((Ok(response), _)) => Ok(response),
--- a/crates/transport/src/entry/attempt.rs
+++ b/crates/transport/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
+use lynxmast_state::doubt;
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
 use lynxmast_state::router;
@@ -35,7 +36,7 @@
         &self,
         job: &entry::Job,
         mut outstanding: entry::Outstanding<C>,
-        insists: bool,
+        risk: doubt::Risk,
     ) -> Answer<C> {
         let started = self.tables.now();
         let envelope = envelope::Envelope {
@@ -44,7 +45,7 @@
             left: job.deadline.saturating_duration_since(started),
             policy: job.policy,
             idempotent: job.may_resend(),
-            insists,
+            risk,
             rank: job.decision.route.rank,
             objective: job.objective_left(started),
         };
@@ -137,12 +138,13 @@
             self.gate.catch_up.notify_one();
         }
         use outcome::Failure::{CallerGone, Deadline, Stalled};
-        use outcome::Refusal::{Draining, Misdirected, NoUpstream, Unreachable};
+        use outcome::Refusal::{Draining, Misdirected, NoUpstream, Shed, Unreachable};
         outstanding.will_end(match (verdict.ended, verdict.took) {
             (None, Some(took)) => router::Report::Answered { took, is_error },
             (Some(retry::Ended::NotRun(Draining | Misdirected | NoUpstream | Unreachable)), _) => {
                 router::Report::Unusable
             }
+            (Some(retry::Ended::NotRun(Shed)), _) => router::Report::Failed,
             (Some(retry::Ended::NotRun(_)), _) => router::Report::Refused,
             (Some(retry::Ended::MayHaveRun(CallerGone)), _) => router::Report::Refused,
             // Keeps the time waited as what is known of the upstream.
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -21,6 +21,7 @@
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
 use lynxmast_state::tables;
+use lynxmast_state::urgency;
 
 use crate::body;
 use crate::doubt_trial;
@@ -43,6 +44,7 @@
     /// Time without heartbeat after which a backend server counts as gone.
     lease: time::Duration,
     departed: sync::Mutex<departed::Departed>,
+    leaving: atomic::AtomicBool,
     closing: atomic::AtomicBool,
     exchanges: atomic::AtomicU64,
 }
@@ -92,6 +94,7 @@
             lease: speech.heartbeat * MISSED_MAX,
             heartbeat: speech.heartbeat,
             departed: Default::default(),
+            leaving: Default::default(),
             closing: Default::default(),
             exchanges: atomic::AtomicU64::new(1),
         }
@@ -151,7 +154,7 @@
         let returned_id = checked.inspect_err(|ended| trial.failed(*ended))?;
         connection.heed_keep_alive(response.headers());
         if let Some(refusal) = hand_over::not_run(&response, &marks) {
-            trial.ended(false);
+            trial.failed(retry::Ended::NotRun(refusal));
             let exchange = exchange::Exchange {
                 incoming: response.into_body(),
                 connection,
@@ -229,8 +232,10 @@
         }
         let weight = view.weight(&envelope.organisation);
         let organisation = envelope.organisation.clone();
-        let arrival = admission::Arrival { organisation, weight, deadline };
-        if !envelope.insists && upstream.is_doubted(now) {
+        let objective = envelope.objective.map(|left| now + left);
+        let urgency = urgency::Urgency { rank: envelope.rank, objective };
+        let arrival = admission::Arrival { organisation, weight, deadline, urgency };
+        if !upstream.allows(envelope.risk, now) {
             return Err(retry::Ended::NotRun(outcome::Refusal::Doubtful));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(retry::Ended::NotRun)?;
@@ -256,6 +261,16 @@
         Err(outcome::Refusal::PolicyBehind)
     }
 
+    /// Says that the gate is about to take no new work; it still does.
+    pub fn announce_close(&self) {
+        self.leaving.store(true, atomic::Ordering::Release);
+    }
+
+    /// Tells whether the gate takes no new work or is about to.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Acquire) || self.is_closing()
+    }
+
     /// Stops new work on all upstreams.
     pub fn close(&self) {
         self.closing.store(true, atomic::Ordering::Release);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -113,9 +113,9 @@
         }
     }
 
-    /// Tells whether the upstream is likely to be failing.
-    pub fn is_doubted(&self, now: time::Instant) -> bool {
-        lock(&self.doubt).is_serious(now)
+    /// Tells whether the belief about the upstream lets a request run there.
+    pub fn allows(&self, risk: doubt::Risk, now: time::Instant) -> bool {
+        lock(&self.doubt).allows(risk, now)
     }
 
     /// Returns the likelihood that the upstream is failing, in percent.
