Pace probes, count calls of repeats in the shared budget, blame failed calls on their service

An error that a backend server passed on from a failed call counted against it.

Change: gates pace probes of a doubted upstream (one in 600 ms while they fail). The shared budget is a plain token bucket; a request that may come from a repeated one costs its likelihood. An error within 60 ms after a failed request of the same VM is no evidence. Readiness waits for an upstream. Attempts that fail leave a line with their upstream.

--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -74,8 +74,16 @@
         })
     }
 
+    /// Tells whether some upstream is known, if the policy names any service to look for.
+    fn knows_upstreams(&self) -> bool {
+        let view = self.tables.view();
+        let router = self.tables.router();
+        let has_any = view.services().any(|service| router.has_candidates(&service.name));
+        has_any || view.services().next().is_none()
+    }
+
     fn is_ready(&self) -> bool {
-        self.tables.is_current() && !self.gate.is_leaving()
+        self.tables.is_current() && !self.gate.is_leaving() && self.knows_upstreams()
     }
 
     fn answer(&self, path: &str) -> (http::StatusCode, Bytes) {
--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -33,10 +33,9 @@
 const WAIT_MAX: std::time::Duration = std::time::Duration::from_secs(2);
 /// Longest time without progress on a body.
 const STALL: std::time::Duration = std::time::Duration::from_secs(10);
-/// Part of the retries that the rules allow which the fleet uses; the rest covers
-/// calls that repeated requests make again at other services, and daemons that know of too few
-/// others.
-const BUDGET_USED: f64 = 0.6;
+/// Part of the retries that the rules allow which the fleet uses; the rest covers daemons that know
+/// of too few others.
+const BUDGET_USED: f64 = 0.85;
 
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -29,6 +29,8 @@
     pub policy: ids::PolicyVersion,
     /// Whether the gate may send the request a second time, on a new connection.
     pub idempotent: bool,
+    /// Whether a backend server has been asked before for the same request.
+    pub repeat: bool,
     /// How doubted the upstream may be.
     pub risk: doubt::Risk,
     /// Rank of the route; 0 is the most urgent.
@@ -64,6 +66,7 @@
     ///     left: Duration::from_millis(250),
     ///     policy: 7,
     ///     idempotent: false,
+    ///     repeat: false,
     ///     risk: Default::default(),
     ///     rank: 0,
     ///     objective: None,
@@ -79,6 +82,9 @@
         put(headers, header::LEFT_US, &self.left.as_micros().to_string());
         put(headers, header::POLICY, &self.policy.to_string());
         put(headers, header::IDEMPOTENT, &self.idempotent.to_string());
+        if self.repeat {
+            put(headers, header::REPEAT, "true");
+        }
         if self.risk != doubt::Risk::Avoid {
             put(headers, header::RISK, self.risk.word());
         }
@@ -105,6 +111,7 @@
             left: time::Duration::from_micros(get(headers, header::LEFT_US)?),
             policy: get(headers, header::POLICY)?,
             idempotent: get(headers, header::IDEMPOTENT)?,
+            repeat: headers.contains_key(header::REPEAT),
             risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
             objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -32,6 +32,8 @@
 /// Entry to gate: `true` if the request may be run more than once.
 pub const IDEMPOTENT: &str = "lynxmast-idempotent";
 
+/// Entry to gate: present if a backend server has been asked before for the same request.
+pub const REPEAT: &str = "lynxmast-repeat";
 /// Entry to gate: how doubted the upstream may be, absent for not at all.
 pub const RISK: &str = "lynxmast-risk";
 /// Entry to gate: rank of the route, absent for the most urgent.
--- a/crates/state/src/doubt.rs
+++ b/crates/state/src/doubt.rs
@@ -62,6 +62,8 @@
 pub struct Doubt {
     likelihood: f64,
     at: time::Instant,
+    /// Time from which another request may probe.
+    next_probe: time::Instant,
 }
 
 /// Share of the upstreams taken to be failing while nothing is known of them.
@@ -74,6 +76,9 @@
 const SERIOUS: f64 = 0.2;
 /// Likelihood that further results do not raise, so that a recovered upstream is found soon.
 const LIKELIHOOD_MAX: f64 = 0.98;
+/// Time between probes of a doubted upstream while they fail. Failures last for seconds, so that
+/// several probes fall into each.
+const PROBE_EVERY: time::Duration = time::Duration::from_millis(600);
 /// Likelihood from which even a request that found no other upstream is not run.
 const HOPELESS: f64 = 0.6;
 /// Age at which half of a belief has given way to the prior.
@@ -82,21 +87,29 @@
 impl Doubt {
     /// Returns the belief about an upstream of which nothing is known.
     pub fn new(now: time::Instant) -> Self {
-        Self { likelihood: PRIOR, at: now }
+        Self { likelihood: PRIOR, at: now, next_probe: now }
     }
 
-    /// Tells whether a request may run at the upstream.
-    pub fn allows(&self, risk: Risk, now: time::Instant) -> bool {
+    /// Tells whether a request may run at the upstream. Probes are paced; a success lets the next
+    /// one follow at once.
+    pub fn admit(&mut self, risk: Risk, now: time::Instant) -> bool {
         match risk {
             Risk::Avoid => !self.is_serious(now),
             Risk::Accept => self.likelihood(now) < HOPELESS,
-            Risk::Probe => true,
+            Risk::Probe if !self.is_serious(now) => true,
+            Risk::Probe => {
+                let is_due = now >= self.next_probe;
+                if is_due {
+                    self.next_probe = now + PROBE_EVERY;
+                }
+                is_due
+            }
         }
     }
 
     /// Returns a belief that was heard from a gate.
     pub fn heard(likelihood: f64, now: time::Instant) -> Self {
-        Self { likelihood: likelihood.clamp(0.0, 1.0), at: now }
+        Self { likelihood: likelihood.clamp(0.0, 1.0), at: now, next_probe: now }
     }
 
     /// Takes the result of one request into account.
@@ -110,6 +123,9 @@
         let joint = before * failing;
         let after = joint / (joint + (1.0 - before) * sound);
         self.likelihood = after.min(LIKELIHOOD_MAX);
+        if worked {
+            self.next_probe = now;
+        }
         self.at = self.at.max(now);
     }
 
--- a/crates/state/src/doubt/tests.rs
+++ b/crates/state/src/doubt/tests.rs
@@ -27,3 +27,24 @@
     results.extend([true; 8]);
     check(&results, time::Duration::ZERO, false);
 }
+
+#[test]
+fn probes_are_paced_while_they_fail_and_follow_on_success() {
+    let start = time::Instant::now();
+    let mut doubt = Doubt::new(start);
+    let mut probes = 0;
+    for step in 0..100 {
+        let now = start + time::Duration::from_millis(30) * step;
+        if doubt.admit(Risk::Probe, now) {
+            probes += 1;
+            doubt.record(false, now);
+        }
+    }
+    assert!((5..=7).contains(&probes), "{probes} failed probes in 3 s");
+    let now = start + time::Duration::from_secs(4);
+    for _ in 0..20 {
+        assert!(doubt.admit(Risk::Probe, now));
+        doubt.record(true, now);
+    }
+    assert!(doubt.admit(Risk::Avoid, now));
+}
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use crate::latency;
 use crate::outcome;
 
 /// Why an attempt gave no answer.
@@ -116,14 +115,12 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
-    /// First attempts lately.
-    firsts: latency::Average,
 }
 
 /// A budget that the daemons of a fleet share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shared {
-    /// Retries allowed for each first attempt in any [`WINDOW`].
+    /// Retries allowed for each first attempt.
     pub ratio: f64,
     /// Retries allowed beyond that.
     pub reserve: u32,
@@ -131,11 +128,6 @@
     pub daemons: usize,
 }
 
-/// Time over which a shared budget is counted.
-pub const WINDOW: time::Duration = time::Duration::from_secs(10);
-/// Part of a shared ratio that refills the budget; the rest is saved up at most, over the
-/// quarter window that first attempts are remembered for.
-const REFILL_PART: f64 = 0.7;
 /// Retries that a service with little traffic may make in a row.
 const RESERVE: f64 = 10.0;
 /// Retries that can be saved up.
@@ -145,7 +137,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: RESERVE, firsts: latency::Average::new(WINDOW / 4) }
+        Self { tokens: RESERVE }
     }
 }
 
@@ -155,14 +147,14 @@
         self.tokens = (self.tokens + ratio.max(REFILL_MIN)).min(SAVED_MAX);
     }
 
-    /// Counts a first attempt under a budget that `daemons` share. What is saved up here and
-    /// everywhere never exceeds `ratio` of the first attempts of any [`WINDOW`] plus `reserve`.
-    pub fn deposit_shared(&mut self, shared: &Shared, now: time::Instant) {
-        self.firsts.record(1.0, now);
-        let ratio = shared.ratio * REFILL_PART;
-        let saved = self.firsts.weight(now) * ratio;
-        let most = saved + f64::from(shared.reserve) / shared.daemons.max(1) as f64;
-        self.tokens = (self.tokens + ratio).min(most.max(1.0));
+    /// Counts a first attempt under a budget that the daemons of a fleet share. What they may spend
+    /// together never exceeds `ratio` of the first attempts plus `reserve` over any time.
+    ///
+    /// `repeats` is the likelihood that the request was made by one that is itself repeated, which
+    /// counts as a retry.
+    pub fn deposit_shared(&mut self, shared: &Shared, repeats: f64) {
+        let most = f64::from(shared.reserve) / shared.daemons.max(1) as f64;
+        self.tokens = (self.tokens + shared.ratio - repeats).min(most.max(1.0));
     }
 
     /// Takes one retry if the budget allows it.
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -49,3 +49,34 @@
     let retries = retries.count();
     assert!((1000..=1010).contains(&retries), "{retries}");
 }
+
+#[test]
+fn a_shared_budget_holds_over_the_fleet_when_everything_fails() {
+    let shared = Shared { ratio: 0.17, reserve: 51, daemons: 27 };
+    let mut budgets = vec![Budget::default(); shared.daemons];
+    let (mut firsts, mut retries) = (0.0, 0.0);
+    for round in 0..200 {
+        for budget in &mut budgets {
+            // A quiet time saves up, then every request fails twice.
+            budget.deposit_shared(&shared, 0.0);
+            if round >= 100 {
+                firsts += 1.0;
+                retries +=
+                    [0, 1].map(|_| f64::from(u8::from(budget.withdraw()))).iter().sum::<f64>();
+            }
+        }
+    }
+    assert!(retries <= 0.2 * firsts + 60.0, "{retries} retries of {firsts}");
+    assert!(retries >= 0.15 * firsts, "{retries} retries of {firsts}");
+}
+
+#[test]
+fn calls_of_repeated_requests_use_the_shared_budget() {
+    let shared = Shared { ratio: 0.2, reserve: 1, daemons: 1 };
+    let mut budget = Budget::default();
+    let allowed = (0..100).filter(|_| {
+        budget.deposit_shared(&shared, 0.2);
+        budget.withdraw()
+    });
+    assert_eq!(allowed.count(), 1);
+}
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -150,7 +150,7 @@
 /// Time assumed for an upstream before any is known.
 const LATENCY_UNKNOWN_S: f64 = 0.01;
 /// Share of the repeatable requests that go to a doubted upstream, so that it can prove itself.
-const TRIAL_SHARE: f64 = 0.15;
+const TRIAL_SHARE: f64 = 0.1;
 
 impl Router {
     /// Returns a router without upstreams for the entry of daemon `own` in `domain`.
@@ -255,6 +255,11 @@
         }
     }
 
+    /// Tells whether a service has candidates.
+    pub fn has_candidates(&self, service: &str) -> bool {
+        self.pools.get(service).is_some_and(|pool| !pool.upstreams.is_empty())
+    }
+
     /// Returns the candidates in use for a service, avoided ones included.
     pub fn candidates(&self, service: &str) -> Vec<Candidate> {
         let pool = self.pools.get(service);
--- a/crates/transport/src/doubt_trial.rs
+++ b/crates/transport/src/doubt_trial.rs
@@ -35,6 +35,11 @@
         self.upstream.record_result(worked);
     }
 
+    /// Ends the trial without a result.
+    pub fn cancel(&mut self) {
+        self.is_open = false;
+    }
+
     /// Takes an end without an answer; it tells nothing where the upstream was not at fault.
     pub fn failed(&mut self, ended: retry::Ended) {
         use outcome::Failure::{BadAnswer, ConnectionLost, Stalled, Truncated};
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -101,6 +101,15 @@
     }
 }
 
+/// What kind of attempt one is.
+#[derive(Debug, Clone, Copy)]
+struct Nature {
+    /// Whether a backend server has been asked before.
+    repeat: bool,
+    /// How doubted the upstream may be.
+    risk: doubt::Risk,
+}
+
 /// What the attempts for one request have come to so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -262,6 +271,7 @@
             Err(ended) => (ended.outcome(), 0),
         };
         let now = self.tables.now();
+        self.gate.note_failed_call(now);
         log::info!(
             event = "request",
             id = job.id(&self.identity.dialect),
@@ -279,16 +289,45 @@
         );
     }
 
+    /// Writes one line on an attempt that was not answered well.
+    fn log_attempt<B>(
+        &self,
+        job: &Job,
+        upstream: net::SocketAddr,
+        gate: net::SocketAddr,
+        started: time::Instant,
+        answer: &Result<http::Response<B>, retry::Ended>,
+    ) {
+        let (outcome, status) = match answer {
+            Ok(response) if !response.status().is_server_error() => return,
+            Ok(response) => (outcome::Outcome::Answered, response.status().as_u16()),
+            Err(ended) => (ended.outcome(), 0),
+        };
+        log::info!(
+            event = "attempt",
+            id = job.id(&self.identity.dialect),
+            upstream:% = upstream,
+            gate:% = gate,
+            outcome = outcome.word(),
+            reason = outcome.reason(),
+            status,
+            took_ms = self.tables.now().saturating_duration_since(started).as_millis() as u64;
+            "attempt ended"
+        );
+    }
+
     /// Counts a first attempt for the retry budget of its service.
     fn deposit(&self, service: &service::Service) {
         let now = self.tables.now();
+        // Calls that a repeated request makes count as repeats too.
+        let repeats = self.gate.repeat_share();
         let shared = service.retry_reserve.map(|reserve| retry::Shared {
             ratio: service.retry_ratio,
             reserve,
             daemons: self.tables.members().live(now).count(),
         });
         self.tables.with_traffic(&service.name, |traffic| match shared {
-            Some(shared) => traffic.budget.deposit_shared(&shared, now),
+            Some(shared) => traffic.budget.deposit_shared(&shared, repeats),
             None => traffic.budget.deposit(service.retry_ratio),
         });
     }
@@ -315,7 +354,9 @@
             };
             let (address, gate) = (first.candidate.id.address, first.candidate.gate);
             let started = self.tables.now();
-            let ended = match self.attempt(job, first, progress).await {
+            let answer = self.attempt(job, first, progress).await;
+            self.log_attempt(job, address, gate, started, &answer);
+            let ended = match answer {
                 Ok(response) if self.may_replace(job, &response, progress) => {
                     *shed = Some(response);
                     progress.note(retry::Ended::MayHaveRun(outcome::Failure::Shed));
@@ -325,16 +366,6 @@
                 Err(ended) => ended,
             };
             progress.note(ended);
-            log::info!(
-                event = "attempt",
-                id = job.id(&self.identity.dialect),
-                upstream:% = address,
-                gate:% = gate,
-                outcome = ended.outcome().word(),
-                reason = ended.outcome().reason(),
-                took_ms = self.tables.now().saturating_duration_since(started).as_millis() as u64;
-                "attempt ended"
-            );
             if ended == retry::Ended::NotRun(outcome::Refusal::Doubtful) {
                 progress.doubtful.push(address);
             }
@@ -383,15 +414,15 @@
         first: Outstanding<C>,
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
-        let risk = job.risk(progress);
-        let mut running = std::pin::pin!(self.try_upstream(job, first, risk));
+        let nature = Nature { repeat: progress.attempts > 0, risk: job.risk(progress) };
+        let mut running = std::pin::pin!(self.try_upstream(job, first, nature));
         let Some(patience) = self.hedge_after(job) else { return running.await };
         if let Ok(done) = tokio::time::timeout(patience, &mut running).await {
             return done;
         }
         let Some(second) = self.pick_hedge(job, progress) else { return running.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge = std::pin::pin!(self.try_upstream(job, second, risk));
+        let hedge = std::pin::pin!(self.try_upstream(job, second, nature));
         match futures::future::select(running, hedge).await {
             futures::future::Either::Left((Ok(response), _))
             | futures::future::Either::Right((Ok(response), _)) => Ok(response),
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -44,6 +44,9 @@
     /// Time without heartbeat after which a backend server counts as gone.
     lease: time::Duration,
     departed: sync::Mutex<departed::Departed>,
+    /// When a request that began on this VM last failed; a backend server whose call failed
+    /// answers with an error that is not its own.
+    failed_call: sync::Mutex<Option<time::Instant>>,
     leaving: atomic::AtomicBool,
     closing: atomic::AtomicBool,
     exchanges: atomic::AtomicU64,
@@ -78,6 +81,8 @@
     pub verdict: envelope::Verdict,
 }
 
+/// Time after the failure of a call in which the backend server that made it passes it on.
+const CALL_BLAME: time::Duration = time::Duration::from_millis(60);
 /// Longest wait for a policy version that a request was decided with.
 const CATCH_UP_MAX: time::Duration = time::Duration::from_millis(500);
 const CATCH_UP_STEP: time::Duration = time::Duration::from_millis(10);
@@ -94,6 +99,7 @@
             lease: speech.heartbeat * MISSED_MAX,
             heartbeat: speech.heartbeat,
             departed: Default::default(),
+            failed_call: Default::default(),
             leaving: Default::default(),
             closing: Default::default(),
             exchanges: atomic::AtomicU64::new(1),
@@ -164,7 +170,12 @@
             exchange.discard();
             return Err(retry::Ended::NotRun(refusal));
         }
-        trial.ended(!response.status().is_server_error());
+        let is_error = response.status().is_server_error();
+        if is_error && self.may_be_of_a_call(self.tables.now()) {
+            trial.cancel();
+        } else {
+            trial.ended(!is_error);
+        }
         let (mut parts, incoming) = response.into_parts();
         hop::strip_hop_headers(&mut parts.headers);
         hop::strip_own_headers(&mut parts.headers);
@@ -239,6 +250,7 @@
             return Err(retry::Ended::NotRun(outcome::Refusal::Doubtful));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(retry::Ended::NotRun)?;
+        let slot = if envelope.repeat { slot.of_repeat() } else { slot };
         Ok((slot, service.stall))
     }
 
@@ -261,6 +273,29 @@
         Err(outcome::Refusal::PolicyBehind)
     }
 
+    /// Returns the share of the requests being run here that had been tried before.
+    pub fn repeat_share(&self) -> f64 {
+        let upstreams = self.read();
+        let repeats: u32 = upstreams.values().map(|upstream| upstream.repeats()).sum();
+        if repeats == 0 {
+            return 0.0;
+        }
+        let now = self.tables.now();
+        let in_use: u32 = upstreams.values().map(|upstream| upstream.load(now).in_use).sum();
+        f64::from(repeats) / f64::from(in_use.max(repeats))
+    }
+
+    /// Notes that a request that began on this VM failed.
+    pub fn note_failed_call(&self, now: time::Instant) {
+        *self.failed_call.lock().unwrap_or_else(sync::PoisonError::into_inner) = Some(now);
+    }
+
+    /// Tells whether an error at `now` may be due to a call that the backend server made.
+    fn may_be_of_a_call(&self, now: time::Instant) -> bool {
+        let failed = self.failed_call.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        failed.is_some_and(|at| now.saturating_duration_since(at) < CALL_BLAME)
+    }
+
     /// Says that the gate is about to take no new work; it still does.
     pub fn announce_close(&self) {
         self.leaving.store(true, atomic::Ordering::Release);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -28,6 +28,8 @@
     admission: sync::Mutex<admission::Admission<Option<Waker<C>>>>,
     lease: sync::Mutex<Lease>,
     doubt: sync::Mutex<doubt::Doubt>,
+    /// Requests being run that had been tried before.
+    repeats: atomic::AtomicU32,
 }
 
 /// What the backend server last announced.
@@ -52,6 +54,7 @@
     class: admission::Class,
     taken: time::Instant,
     handed_over: atomic::AtomicBool,
+    is_repeat: bool,
 }
 
 impl<C: clock::Clock> Upstream<C> {
@@ -61,7 +64,20 @@
         let admission = admission::Admission::new(limits, lease.renewed);
         let admission = sync::Mutex::new(admission);
         let doubt = sync::Mutex::new(doubt::Doubt::new(lease.renewed));
-        Self { id, pool, clock, admission, lease: sync::Mutex::new(lease), doubt }
+        Self {
+            id,
+            pool,
+            clock,
+            admission,
+            lease: sync::Mutex::new(lease),
+            doubt,
+            repeats: Default::default(),
+        }
+    }
+
+    /// Returns the number of requests being run that had been tried before.
+    pub fn repeats(&self) -> u32 {
+        self.repeats.load(atomic::Ordering::Acquire)
     }
 
     /// Returns slots in use, waiting requests and open slots.
@@ -115,7 +131,7 @@
 
     /// Tells whether the belief about the upstream lets a request run there.
     pub fn allows(&self, risk: doubt::Risk, now: time::Instant) -> bool {
-        lock(&self.doubt).allows(risk, now)
+        lock(&self.doubt).admit(risk, now)
     }
 
     /// Returns the likelihood that the upstream is failing, in percent.
@@ -200,7 +216,13 @@
     }
 
     fn slot(self: &sync::Arc<Self>, class: admission::Class, taken: time::Instant) -> Slot<C> {
-        Slot { upstream: self.clone(), class, taken, handed_over: Default::default() }
+        Slot {
+            upstream: self.clone(),
+            class,
+            taken,
+            handed_over: Default::default(),
+            is_repeat: false,
+        }
     }
 }
 
@@ -210,6 +232,13 @@
         &self.upstream
     }
 
+    /// Marks the slot as taken for a request that had been tried before.
+    pub fn of_repeat(mut self) -> Self {
+        self.upstream.repeats.fetch_add(1, atomic::Ordering::AcqRel);
+        self.is_repeat = true;
+        self
+    }
+
     /// Reads the clock of the gate.
     pub fn now(&self) -> time::Instant {
         self.upstream.clock.now()
@@ -223,6 +252,9 @@
 
 impl<C: clock::Clock> Drop for Slot<C> {
     fn drop(&mut self) {
+        if self.is_repeat {
+            self.upstream.repeats.fetch_sub(1, atomic::Ordering::AcqRel);
+        }
         let now = self.upstream.clock.now();
         let took = now.saturating_duration_since(self.taken);
         let took = self.handed_over.load(atomic::Ordering::Acquire).then_some(took);
