Read the settings again on a hang-up instead of ending

Change: a hang-up reads and checks the settings file and says in a line what became of it; good settings are in force from the next start, bad ones are refused. Tests with the real process.

--- a/crates/lynxmastd/src/lib.rs
+++ b/crates/lynxmastd/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod logging;
 pub mod on_store;
 pub mod platform;
+pub mod reload;
 pub mod settings;
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -9,6 +9,7 @@
 use lynxmastd::daemon;
 use lynxmastd::logging;
 use lynxmastd::on_store;
+use lynxmastd::reload;
 use lynxmastd::settings;
 use metrics_exporter_prometheus as prometheus;
 use tokio::signal::unix;
@@ -68,7 +69,7 @@
             return process::ExitCode::from(EXIT_START);
         }
     };
-    let code = runtime.block_on(run(settings));
+    let code = runtime.block_on(run(settings, file));
     runtime.shutdown_background();
     lines.flush();
     code
@@ -83,7 +84,8 @@
     tokio::runtime::Builder::new_multi_thread().enable_all().build()
 }
 
-async fn run(settings: settings::Settings) -> process::ExitCode {
+async fn run(settings: settings::Settings, file: &path::Path) -> process::ExitCode {
+    let reload = reload::Reload::new(file.to_owned(), settings.clone());
     let metrics = prometheus::PrometheusBuilder::new().install_recorder().ok();
     let clock = clock::SystemClock;
     let started = match (settings.log, settings.store) {
@@ -104,15 +106,18 @@
             return process::ExitCode::from(EXIT_START);
         }
     };
-    let signals =
-        (unix::signal(unix::SignalKind::terminate()), unix::signal(unix::SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+    let [terminate, interrupt, hang_up] =
+        [unix::SignalKind::terminate(), unix::SignalKind::interrupt(), unix::SignalKind::hangup()]
+            .map(unix::signal);
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(hang_up)) = (terminate, interrupt, hang_up)
+    else {
         eprintln!("lynxmastd: cannot listen for signals");
         return process::ExitCode::from(EXIT_START);
     };
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = reload.run(hang_up) => {}
     }
     tokio::select! {
         ended = daemon.shutdown() => match ended {
--- /dev/null
+++ b/crates/lynxmastd/tests/signals.rs
@@ -0,0 +1,70 @@
+//! The real process under signals.
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net;
+use std::process;
+use std::time;
+
+/// Longest wait for the process to start or end.
+const SETTLE_MAX: time::Duration = time::Duration::from_secs(10);
+const STEP: time::Duration = time::Duration::from_millis(20);
+
+fn free_port() -> u16 {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address").port()
+}
+
+fn is_live(admin: u16) -> bool {
+    let Ok(mut stream) = net::TcpStream::connect(("127.0.0.1", admin)) else { return false };
+    let request = "GET /live HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let mut answer = String::new();
+    stream.write_all(request.as_bytes()).is_ok()
+        && stream.read_to_string(&mut answer).is_ok()
+        && answer.starts_with("HTTP/1.1 200")
+}
+
+fn wait_until(mut holds: impl FnMut() -> bool) -> bool {
+    let until = time::Instant::now() + SETTLE_MAX;
+    while time::Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(STEP);
+    }
+    false
+}
+
+fn signal(child: &process::Child, name: &str) {
+    let status = process::Command::new("kill").arg(name).arg(child.id().to_string()).status();
+    assert!(status.expect("kill runs").success());
+}
+
+#[test]
+fn a_hang_up_reloads_and_a_termination_ends() {
+    let admin = free_port();
+    let file = std::env::temp_dir().join(format!("lynxmast-signals-{}.toml", process::id()));
+    let text = format!(
+        "name = 'd1'\ndomain = 'a'\nsecret = '0123456789abcdef'\nstore = '127.0.0.1:1'\n\
+         [listen]\nadmin = '127.0.0.1:{admin}'\n[limits]\nshutdown = '6s'\n"
+    );
+    fs::write(&file, text).expect("a temporary file");
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_lynxmastd"))
+        .arg("--settings")
+        .arg(&file)
+        .stdout(process::Stdio::null())
+        .spawn()
+        .expect("the daemon starts");
+    assert!(wait_until(|| is_live(admin)), "the daemon is up");
+    for _ in 0..3 {
+        signal(&child, "-HUP");
+        std::thread::sleep(10 * STEP);
+        assert!(child.try_wait().expect("its state").is_none(), "a hang-up ends nothing");
+        assert!(is_live(admin));
+    }
+    signal(&child, "-TERM");
+    assert!(wait_until(|| child.try_wait().expect("its state").is_some()), "it ends");
+    assert_eq!(child.wait().expect("its state").code(), Some(0));
+    fs::remove_file(&file).expect("the file is there");
+}
