Let repeatable requests insist anywhere, recover doubted upstreams sooner, hedge later

With five of six media upstreams doubted at once, a repeatable call was refused by every gate because its probe was not due, also when it insisted, so that nothing proved the upstreams sound. p95 hedges used the retry budget. A restarted daemon's upstreams kept the avoidance of its last start.

Change: a repeatable request that found no other upstream runs anywhere; others below 0.7. A failing upstream is taken to fail 60%, and beliefs end at 0.95. Hedges wait twice the usual time. The router starts anew with each start of a daemon.

--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -33,6 +33,8 @@
 const WAIT_MAX: std::time::Duration = std::time::Duration::from_secs(2);
 /// Longest time without progress on a body.
 const STALL: std::time::Duration = std::time::Duration::from_secs(10);
+/// Multiple of the time that 95 of 100 requests stay below, after which a request counts as hung.
+const HEDGE_AFTER: f64 = 2.0;
 /// Part of the retries that the rules allow which the fleet uses; the rest covers daemons that know
 /// of too few others.
 const BUDGET_USED: f64 = 0.85;
@@ -47,6 +49,7 @@
             max_wait: WAIT_MAX,
             ramp: std::time::Duration::ZERO,
             stall: STALL,
+            hedge_after: HEDGE_AFTER,
             floor_share: settings.floor_share,
             retry_ratio: settings.retry_ratio * BUDGET_USED,
             retry_reserve: Some(reserve as u32),
--- a/crates/state/src/doubt.rs
+++ b/crates/state/src/doubt.rs
@@ -14,8 +14,10 @@
     Avoid,
     /// Unless the upstream is more likely failing than not: no other one takes the request.
     Accept,
-    /// Anywhere: another attempt may follow, and the gate learns from this one.
+    /// At a doubted upstream when its gate wants a probe: another attempt may follow.
     Probe,
+    /// Anywhere: the request may be repeated, and no other upstream takes it.
+    Any,
 }
 
 impl Risk {
@@ -25,6 +27,7 @@
             Risk::Avoid => "avoid",
             Risk::Accept => "accept",
             Risk::Probe => "probe",
+            Risk::Any => "any",
         }
     }
 
@@ -37,7 +40,8 @@
     /// assert_eq!(doubt::Risk::from_word("probe"), Some(doubt::Risk::Probe));
     /// ```
     pub fn from_word(word: &str) -> Option<Self> {
-        [Risk::Avoid, Risk::Accept, Risk::Probe].into_iter().find(|risk| risk.word() == word)
+        let all = [Risk::Avoid, Risk::Accept, Risk::Probe, Risk::Any];
+        all.into_iter().find(|risk| risk.word() == word)
     }
 }
 
@@ -69,18 +73,18 @@
 /// Share of the upstreams taken to be failing while nothing is known of them.
 const PRIOR: f64 = 0.04;
 /// Share of its requests that a failing upstream is taken to fail.
-const FAILS_WHEN_FAILING: f64 = 0.5;
+const FAILS_WHEN_FAILING: f64 = 0.6;
 /// Share of its requests that a sound upstream is taken to fail.
 const FAILS_WHEN_SOUND: f64 = 0.015;
 /// Likelihood from which what must not be repeated goes elsewhere.
 const SERIOUS: f64 = 0.2;
 /// Likelihood that further results do not raise, so that a recovered upstream is found soon.
-const LIKELIHOOD_MAX: f64 = 0.98;
+const LIKELIHOOD_MAX: f64 = 0.95;
 /// Time between probes of a doubted upstream while they fail. Failures last for seconds, so that
 /// several probes fall into each.
 const PROBE_EVERY: time::Duration = time::Duration::from_millis(600);
 /// Likelihood from which even a request that found no other upstream is not run.
-const HOPELESS: f64 = 0.6;
+const HOPELESS: f64 = 0.7;
 /// Age at which half of a belief has given way to the prior.
 const HALF_LIFE: time::Duration = time::Duration::from_secs(3);
 
@@ -96,6 +100,7 @@
         match risk {
             Risk::Avoid => !self.is_serious(now),
             Risk::Accept => self.likelihood(now) < HOPELESS,
+            Risk::Any => true,
             Risk::Probe if !self.is_serious(now) => true,
             Risk::Probe => {
                 let is_due = now >= self.next_probe;
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -359,6 +359,7 @@
         domain: record.domain.clone(),
         slots: upstream.slots,
         incarnation: upstream.incarnation,
+        daemon_start: record.incarnation,
     })
 }
 
--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -44,6 +44,8 @@
         pub retry_reserve: Option<u32>,
         /// Whether a slow idempotent request is tried a second time in parallel.
         pub hedge: bool,
+        /// Multiple of the usual time after which that is done.
+        pub hedge_after: f64,
         /// Threshold of the gray failure detector.
         pub preset: Preset,
         /// Longest time without progress on a body before the exchange is given up.
@@ -66,6 +68,7 @@
             retry_ratio: 0.1,
             retry_reserve: None,
             hedge: true,
+            hedge_after: 1.0,
             preset: Preset::Steady,
             stall: time::Duration::from_secs(10),
         }
@@ -76,6 +79,7 @@
 const CONNECTIONS_MAX: u32 = 65_536;
 const QUEUE_MAX: u32 = 4096;
 const WAIT_MAX: time::Duration = time::Duration::from_secs(600);
+const HEDGE_AFTER_MAX: f64 = 100.0;
 const STALL_MIN: time::Duration = time::Duration::from_millis(100);
 
 impl Service {
@@ -97,6 +101,8 @@
         rule(ratio_ok, "retry-ratio", format!("{} is not in 0 to 1", self.retry_ratio));
         let share_ok = (0.0..=1.0).contains(&self.floor_share);
         rule(share_ok, "floor-share", format!("{} is not in 0 to 1", self.floor_share));
+        let after_ok = (1.0..=HEDGE_AFTER_MAX).contains(&self.hedge_after);
+        rule(after_ok, "hedge-after", format!("{} is not in 1 to 100", self.hedge_after));
         rule(self.max_wait <= WAIT_MAX, "max-wait", format!("is over {}s", WAIT_MAX.as_secs()));
         rule(self.ramp <= WAIT_MAX, "ramp", format!("is over {}s", WAIT_MAX.as_secs()));
         let stall_ok = (STALL_MIN..=WAIT_MAX).contains(&self.stall);
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -46,6 +46,8 @@
     pub slots: u32,
     /// Start of the backend server that is meant.
     pub incarnation: ids::Incarnation,
+    /// Start of the daemon whose gate leads to it.
+    pub daemon_start: ids::Incarnation,
 }
 
 /// A request that needs an upstream.
@@ -150,7 +152,7 @@
 /// Time assumed for an upstream before any is known.
 const LATENCY_UNKNOWN_S: f64 = 0.01;
 /// Share of the repeatable requests that go to a doubted upstream, so that it can prove itself.
-const TRIAL_SHARE: f64 = 0.1;
+const TRIAL_SHARE: f64 = 0.2;
 
 impl Router {
     /// Returns a router without upstreams for the entry of daemon `own` in `domain`.
@@ -301,6 +303,7 @@
             let known = old.swap_remove(&address).filter(|upstream| {
                 upstream.candidate.incarnation == candidate.incarnation
                     && upstream.candidate.gate == candidate.gate
+                    && upstream.candidate.daemon_start == candidate.daemon_start
             });
             let upstream = match known {
                 Some(known) => Upstream { candidate, ..known },
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -16,6 +16,7 @@
         gate: address(n + 5000),
         domain: domain.into(),
         slots: 4,
+        daemon_start: 1,
         incarnation: 1,
     }
 }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -86,10 +86,11 @@
 
     /// How doubted the next upstream may be.
     fn risk(&self, progress: &Progress) -> doubt::Risk {
-        match (self.is_expendable(progress), progress.insists) {
-            (true, _) => doubt::Risk::Probe,
-            (false, true) => doubt::Risk::Accept,
-            (false, false) => doubt::Risk::Avoid,
+        match progress.insists {
+            true if self.idempotent => doubt::Risk::Any,
+            true => doubt::Risk::Accept,
+            false if self.is_expendable(progress) => doubt::Risk::Probe,
+            false => doubt::Risk::Avoid,
         }
     }
 
@@ -140,7 +141,7 @@
     /// Asks the gates that only doubted their upstreams once more, to run the request there all
     /// the same; `false` if none did or they have been asked already.
     fn insist(&mut self) -> bool {
-        if self.insists || self.doubtful.is_empty() || self.attempts > 0 {
+        if self.insists || self.doubtful.is_empty() {
             return false;
         }
         self.insists = true;
@@ -464,7 +465,7 @@
         let may = service.hedge && retry::may_run_again(None, job.idempotent);
         let usual = self.tables.with_traffic(&service.name, |t| t.usual.value());
         let patience = usual.filter(|_| may).map(time::Duration::from_secs_f64)?;
-        Some(patience.max(HEDGE_MIN))
+        Some(patience.mul_f64(service.hedge_after).max(HEDGE_MIN))
     }
 
     fn pick_hedge(&self, job: &Job, progress: &mut Progress) -> Option<Outstanding<C>> {
