--- a/crates/protocol/src/dialect.rs
+++ b/crates/protocol/src/dialect.rs
@@ -33,6 +33,8 @@
     /// Whether an answer without length or chunks ends with its connection. Where it does, a reset
     /// connection still counts as a cut.
     pub unframed: bool,
+    /// Whether callers read fractions of seconds.
+    pub fractions: bool,
     /// Whether paths with more than one reading are passed on as they are.
     pub raw_paths: bool,
 }
@@ -59,6 +61,7 @@
             origin: None,
             not_run: None,
             unframed: false,
+            fractions: false,
             raw_paths: false,
         }
     }
@@ -94,6 +97,20 @@
         }
     }
 
+    /// Returns a number of seconds for callers, rounded up to whole ones if they read only those.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_protocol::dialect;
+    /// let time = std::time::Duration::from_millis(1200);
+    /// assert_eq!(dialect::Dialect::default().seconds(time), "2");
+    /// ```
+    pub fn seconds(&self, time: time::Duration) -> String {
+        let seconds = time.as_secs_f64();
+        if self.fractions { format!("{seconds:.2}") } else { format!("{}", seconds.ceil()) }
+    }
+
     /// Writes the time left for a request.
     pub fn write_left(&self, headers: &mut HeaderMap, left: time::Duration) {
         let count = match self.unit {
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -198,7 +198,10 @@
         if !self.is_worth_waiting(arrival, allowed, now) {
             return Offer::Refuse(item, outcome::Refusal::WaitTooLong);
         }
-        self.enqueue(arrival, item, now, now + allowed)
+        let until = now + allowed;
+        let mean = self.service_time().unwrap_or_default();
+        let until = arrival.urgency.latest_start(mean, now).map_or(until, |at| until.min(at));
+        self.enqueue(arrival, item, now, until)
     }
 
     fn enqueue(
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -77,8 +77,12 @@
     }
 }
 
-/// Shortest time after which a caller is told to come back.
-const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Time after which a caller is told to come back where something is about to change: a policy to
+/// arrive, a departure to spread, a connection to be found dead.
+const RETRY_SOON: time::Duration = time::Duration::from_millis(700);
+/// Time after which a caller is told to come back where all slots are taken: several times what a
+/// request takes, so that those who come back do not meet the same queue.
+const RETRY_LATER: time::Duration = time::Duration::from_millis(1500);
 
 impl Outcome {
     /// Returns the word for the outcome header.
@@ -167,6 +171,11 @@
         Refusal::ALL.into_iter().find(|r| r.word() == word)
     }
 
+    /// Tells whether the request found no free slot in time.
+    pub fn is_overload(&self) -> bool {
+        matches!(self, Refusal::QueueFull | Refusal::WaitTooLong | Refusal::Doubtful)
+    }
+
     /// Tells whether a backend server was asked, though it did not run the request.
     pub fn reached_upstream(&self) -> bool {
         matches!(self, Refusal::Shed | Refusal::Misdirected)
@@ -187,7 +196,9 @@
     /// Returns when the caller may come back, where coming back can help.
     pub fn retry_after(&self) -> Option<time::Duration> {
         match self.status() {
-            429 | 503 => Some(RETRY_AFTER),
+            429 => Some(RETRY_LATER),
+            503 if self.is_overload() => Some(RETRY_LATER),
+            503 => Some(RETRY_SOON),
             _ => None,
         }
     }
--- a/crates/state/src/urgency.rs
+++ b/crates/state/src/urgency.rs
@@ -41,6 +41,13 @@
         Order { is_late: !self.is_met_by(now + mean), rank: self.rank }
     }
 
+    /// Returns the last moment at which a request that takes `mean` can start and still meet its
+    /// objective; `None` if it is late at `now`, or has no objective.
+    pub fn latest_start(&self, mean: time::Duration, now: time::Instant) -> Option<time::Instant> {
+        let latest = self.objective?.checked_sub(mean)?;
+        (latest > now).then_some(latest)
+    }
+
     /// Tells whether an answer at `end` meets the objective.
     pub fn is_met_by(&self, end: time::Instant) -> bool {
         self.objective.is_none_or(|objective| end <= objective)
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -123,6 +123,8 @@
     doubtful: Vec<net::SocketAddr>,
     /// Whether gates are asked to run the request at upstreams that they doubt.
     insists: bool,
+    /// Whether a further attempt was left out because the retry budget was empty.
+    is_over_budget: bool,
     /// The last end without proof that the request was not run.
     doubt: Option<retry::Ended>,
     /// The last end of an attempt.
@@ -180,7 +182,7 @@
             Err(refusal) => {
                 log::info!(event = "request", reason = refusal.word(); "not accepted");
                 count("", outcome::Outcome::NotRun(refusal));
-                return reply::to_caller(outcome::Outcome::NotRun(refusal));
+                return reply::to_caller(outcome::Outcome::NotRun(refusal), &self.identity.dialect);
             }
         };
         let service = job.decision.service.name.clone();
@@ -197,7 +199,7 @@
             }
             Err(ended) => {
                 count(&service, ended.outcome());
-                reply::to_caller(ended.outcome())
+                reply::to_caller(ended.outcome(), &self.identity.dialect)
             }
         }
     }
@@ -284,6 +286,7 @@
             status,
             attempts = progress.attempts,
             asked = progress.asked,
+            over_budget = progress.is_over_budget,
             took_ms = now.saturating_duration_since(job.arrived).as_millis() as u64,
             left_ms = job.deadline.saturating_duration_since(now).as_millis() as u64;
             "not served"
@@ -370,7 +373,7 @@
             if ended == retry::Ended::NotRun(outcome::Refusal::Doubtful) {
                 progress.doubtful.push(address);
             }
-            if !self.wants_retry(job, ended, progress.attempts) {
+            if !self.wants_retry(job, ended, progress.attempts, progress) {
                 // A refusal at the end proves nothing about an earlier attempt.
                 return Err(progress.doubt.unwrap_or(ended));
             }
@@ -384,15 +387,26 @@
     }
 
     /// Tells whether a server error is better replaced by another attempt.
-    fn may_replace<B>(&self, job: &Job, response: &http::Response<B>, progress: &Progress) -> bool {
+    fn may_replace<B>(
+        &self,
+        job: &Job,
+        response: &http::Response<B>,
+        progress: &mut Progress,
+    ) -> bool {
         let shed = retry::Ended::MayHaveRun(outcome::Failure::Shed);
         let others = self.tables.router().candidates(&job.decision.service.name).len();
         response.status().is_server_error()
             && others > progress.tried.len()
-            && self.wants_retry(job, shed, progress.attempts + 1)
+            && self.wants_retry(job, shed, progress.attempts + 1, progress)
     }
 
-    fn wants_retry(&self, job: &Job, ended: retry::Ended, attempts: u32) -> bool {
+    fn wants_retry(
+        &self,
+        job: &Job,
+        ended: retry::Ended,
+        attempts: u32,
+        progress: &mut Progress,
+    ) -> bool {
         let situation = retry::Situation {
             ended,
             idempotent: job.idempotent,
@@ -402,9 +416,13 @@
             remaining: job.deadline.saturating_duration_since(self.tables.now()),
         };
         let service = &job.decision.service.name;
-        retry::wants_retry(&situation)
-            && (!ended.reached_upstream()
-                || self.tables.with_traffic(service, |traffic| traffic.budget.withdraw()))
+        if !retry::wants_retry(&situation) {
+            return false;
+        }
+        let is_paid = !ended.reached_upstream()
+            || self.tables.with_traffic(service, |traffic| traffic.budget.withdraw());
+        progress.is_over_budget = !is_paid;
+        is_paid
     }
 
     /// Makes one attempt, and a second in parallel when the first is unusually slow and the
--- a/crates/transport/src/reply.rs
+++ b/crates/transport/src/reply.rs
@@ -3,18 +3,24 @@
 use bytes::Bytes;
 use http::HeaderValue;
 use http::header;
+use lynxmast_protocol::dialect;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
+use rand::Rng;
 
 use crate::body;
 
+/// Part by which the times after which callers come back differ, so that they do not come at once.
+const RETRY_SPREAD: f64 = 0.3;
+
 /// Builds the answer that tells a caller of an outcome other than an answer.
 ///
 /// The status, the outcome and reason headers, `Retry-After` where coming back can help, and a
 /// line of text say the same thing.
 pub fn to_caller<C: clock::Clock>(
     outcome: outcome::Outcome,
+    dialect: &dialect::Dialect,
 ) -> http::Response<body::AnswerBody<C>> {
     let (status, retry_after) = match outcome {
         outcome::Outcome::Answered => (200, None),
@@ -29,7 +35,11 @@
     headers.insert(names::OUTCOME, HeaderValue::from_static(outcome.word()));
     headers.insert(names::REASON, HeaderValue::from_static(outcome.reason()));
     if let Some(after) = retry_after {
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(after.as_secs()));
+        let spread =
+            after.mul_f64(rand::rng().random_range(1.0 - RETRY_SPREAD..1.0 + RETRY_SPREAD));
+        if let Ok(text) = HeaderValue::from_str(&dialect.seconds(spread)) {
+            headers.insert(header::RETRY_AFTER, text);
+        }
     }
     response
 }
