Exchange membership mostly within a failure domain, few daemons follow the store

Eight exchanges a second and daemon carried digests of all daemons whether there was news or not, and every daemon waited at the store for each configuration.

Change: small fleets exchange once a second without news, five times with news, each tick after a new policy version; three of four exchanges stay in the own failure domain; digests cover half of a small fleet a message. The first three daemons of a failure domain by name follow the store, others only while fewer than two there do; each record says whether its daemon does. Dead connections are found after three seconds.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -36,7 +36,13 @@
 }
 
 /// Time between looks at what peers know; asking a peer is needed only if one is ahead.
-const LOOK_EVERY: time::Duration = time::Duration::from_millis(250);
+const LOOK_EVERY: time::Duration = time::Duration::from_millis(100);
+/// Daemons of a failure domain that follow the source; calls to it are priced.
+const FOLLOWERS: usize = 3;
+/// Daemons of a failure domain whose answers from the source are enough for the others there.
+const FOLLOWERS_MIN: usize = 2;
+/// Time between looks at whether this daemon has to follow.
+const NEEDED_EVERY: time::Duration = time::Duration::from_millis(500);
 /// Pause after the first failure of the source; doubles up to [`PAUSE_MAX`].
 const PAUSE_MIN: time::Duration = time::Duration::from_millis(200);
 /// Longest pause between calls to a source that fails; below the time in which a configuration
@@ -49,9 +55,16 @@
         let mut pause = PAUSE_MIN;
         let mut is_following = false;
         while !stop.is_cancelled() {
+            if !self.is_needed() {
+                is_following = false;
+                self.tell(false);
+                stop.run_until_cancelled(tokio::time::sleep(NEEDED_EVERY)).await;
+                continue;
+            }
             let step = stop.run_until_cancelled(self.step(is_following)).await;
             let Some(step) = step else { return };
             is_following = step.is_ok();
+            self.tell(is_following);
             self.note(&step);
             if step.is_ok() {
                 pause = PAUSE_MIN;
@@ -63,6 +76,24 @@
         }
     }
 
+    /// Tells whether this daemon has to follow the source itself: until it has a policy, as one of
+    /// the first of its failure domain, or while too few others there can. The rest learn from them.
+    fn is_needed(&self) -> bool {
+        if !self.tables.is_current() {
+            return true;
+        }
+        let followers = self.tables.members().followers_near(self.tables.now());
+        followers.before < FOLLOWERS || followers.following < FOLLOWERS_MIN
+    }
+
+    /// Tells the other daemons whether this one follows the source.
+    fn tell(&self, follows: bool) {
+        let mut members = self.tables.members();
+        if members.own().follows != follows {
+            members.update_own(|own| own.follows = follows);
+        }
+    }
+
     async fn step(&mut self, is_following: bool) -> Result<(), platform_log::Unavailable> {
         let found =
             if is_following { self.source.wait().await? } else { self.source.newest().await? };
--- a/crates/coordination/src/peer_policy.rs
+++ b/crates/coordination/src/peer_policy.rs
@@ -6,6 +6,7 @@
 use lynxmast_protocol::control;
 use lynxmast_state::clock;
 use lynxmast_state::ids;
+use lynxmast_state::member;
 use lynxmast_state::policy::edit;
 use lynxmast_state::tables;
 
@@ -68,7 +69,8 @@
         let own = self.tables.with_reducer(|reducer| reducer.version);
         let members = self.tables.members();
         let newer = members.live(self.tables.now()).filter(|record| record.policy > own);
-        newer.max_by_key(|record| record.policy).map(|record| record.control)
+        let near = |record: &member::Record| record.domain == members.own().domain;
+        newer.max_by_key(|record| (near(record), record.policy)).map(|record| record.control)
     }
 
     /// Applies the record at `offset` and keeps it for those behind.
--- a/crates/coordination/src/snapshots/tests.rs
+++ b/crates/coordination/src/snapshots/tests.rs
@@ -81,6 +81,7 @@
         admin: address,
         leaving: false,
         policy: 0,
+        follows: false,
         upstreams: vec![],
     };
     sync::Arc::new(tables::Tables::new(own, router::Balance::LoadSeen, clock.clone()))
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -389,6 +389,7 @@
         admin: settings.advertise.admin.unwrap_or(listen.admin),
         leaving: false,
         policy: 0,
+        follows: false,
         upstreams: Vec::new(),
     }
 }
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -27,6 +27,9 @@
         pub leaving: bool,
         /// Policy version in force there.
         pub policy: ids::PolicyVersion,
+        /// Whether it follows the source of the policy and the source answers.
+        #[serde(default)]
+        pub follows: bool,
         /// Upstreams beside it.
         pub upstreams: Vec<Upstream>,
     }
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -40,6 +40,10 @@
     generation: u64,
     /// Whether some peer has told all that it knows.
     is_complete: bool,
+    /// Ticks left in which each has a round.
+    hurried: u32,
+    /// Newest policy version heard of.
+    policy: ids::PolicyVersion,
 }
 
 #[derive(Debug, Clone)]
@@ -49,6 +53,15 @@
     was_live: bool,
 }
 
+/// Who follows the source of the policy in a failure domain, besides the own daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Followers {
+    /// Daemons that follow it.
+    pub following: usize,
+    /// Daemons whose name comes before the own, following or not.
+    pub before: usize,
+}
+
 /// Change in what is known of a peer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
@@ -74,10 +87,18 @@
 pub const TICK: time::Duration = time::Duration::from_millis(50);
 /// Ticks between heartbeats.
 pub const TICKS_PER_BEAT: u32 = 20;
-/// Ticks between rounds without urgent news in a small fleet, and in a large one.
-const TICKS_PER_ROUND: [u32; 2] = [5, 20];
-/// Daemons from which a fleet counts as large.
-const LARGE_FLEET: usize = 32;
+/// Ticks between rounds without news.
+const TICKS_PER_ROUND: u32 = 20;
+/// Ticks between rounds with news in a small fleet.
+const TICKS_PER_NEWS: u32 = 4;
+/// Ticks after a new policy version in which each tick has a round.
+const HURRIED_TICKS: u32 = 4;
+/// Daemons from which a fleet counts as large: it always has news, so that rounds keep one pace.
+const LARGE_FLEET: usize = 128;
+/// Digests in a message of a small fleet at least.
+const DIGESTS_MIN: usize = 16;
+/// Share of the exchanges that stay in the own failure domain; bytes between domains cost most.
+const NEAR_SHARE: f64 = 0.75;
 /// Daemons exchanged with in a round.
 const FANOUT: usize = 2;
 /// Daemons exchanged with in a round with urgent news.
@@ -93,7 +114,16 @@
     pub fn new(own: member::Record) -> Self {
         let mut fresh = IndexMap::new();
         fresh.insert(own.daemon.clone(), SENDS_BASE);
-        Self { own, peers: IndexMap::new(), fresh, cursor: 0, generation: 1, is_complete: false }
+        Self {
+            own,
+            peers: IndexMap::new(),
+            fresh,
+            cursor: 0,
+            generation: 1,
+            is_complete: false,
+            hurried: 0,
+            policy: 0,
+        }
     }
 
     /// Returns the own record.
@@ -106,6 +136,18 @@
         self.generation
     }
 
+    /// Counts the live daemons of the own failure domain, besides this one, that follow the source
+    /// of the policy, and those of them whose name comes before the own.
+    pub fn followers_near(&self, now: time::Instant) -> Followers {
+        let patience = self.patience();
+        let live = self.peers.values().filter(|peer| peer.is_live(patience, now));
+        let near = live.map(|peer| &peer.record).filter(|r| r.domain == self.own.domain);
+        let near: Vec<&member::Record> = near.filter(|record| !record.leaving).collect();
+        let follow = near.iter().filter(|record| record.follows);
+        let before = near.iter().filter(|record| record.daemon < self.own.daemon);
+        Followers { following: follow.count(), before: before.count() }
+    }
+
     /// Changes the own record and marks it for spreading.
     pub fn update_own(&mut self, change: impl FnOnce(&mut member::Record)) {
         change(&mut self.own);
@@ -122,13 +164,20 @@
 
     /// Returns with how many daemons to exchange in a tick; few ticks have any, so that traffic
     /// stays bounded in a large fleet, and urgent news go out at once.
-    pub fn fanout(&self, tick: u32) -> usize {
-        if self.has_urgent() {
+    pub fn fanout(&mut self, tick: u32) -> usize {
+        let is_hurried = self.hurried > 0;
+        self.hurried = self.hurried.saturating_sub(1);
+        if is_hurried || self.has_urgent() {
             return URGENT_FANOUT;
         }
-        let [small, large] = TICKS_PER_ROUND;
-        let pause = if self.peers.len() < LARGE_FLEET { small } else { large };
-        if tick.is_multiple_of(pause) { FANOUT } else { 0 }
+        let is_small = self.peers.len() < LARGE_FLEET;
+        let has_news = is_small && !(self.fresh.is_empty() && self.is_complete);
+        let pause = if has_news { TICKS_PER_NEWS } else { TICKS_PER_ROUND };
+        match tick.is_multiple_of(pause) {
+            true if is_small && !has_news => 1,
+            true => FANOUT,
+            false => 0,
+        }
     }
 
     /// Forgets what is still to be spread, as if it had been.
@@ -167,7 +216,14 @@
 
     /// Chooses up to `count` daemons to exchange with.
     pub fn partners(&self, count: usize, rng: &mut impl Rng) -> Vec<net::SocketAddr> {
-        let chosen = self.peers.values().choose_multiple(rng, count);
+        let is_near = |peer: &&Peer| peer.record.domain == self.own.domain;
+        let wants_near = !self.has_urgent() && rng.random_bool(NEAR_SHARE);
+        let near = self.peers.values().filter(is_near).choose_multiple(rng, count);
+        let chosen = if wants_near && near.len() == count {
+            near
+        } else {
+            self.peers.values().choose_multiple(rng, count)
+        };
         chosen.into_iter().map(|peer| peer.record.control).collect()
     }
 
@@ -300,7 +356,9 @@
 
     /// Returns the own digest and the next slice of the others'.
     fn next_digests(&mut self) -> Vec<member::Digest> {
-        let count = self.peers.len().min(DIGESTS_MAX - 1);
+        let known = self.peers.len();
+        let wanted = if known < LARGE_FLEET { (known / 2).max(DIGESTS_MIN) } else { known };
+        let count = wanted.min(known).min(DIGESTS_MAX - 1);
         let turn = self.peers.values().cycle().skip(self.cursor).take(count);
         let digests = turn.map(|peer| peer.record.digest());
         let all = std::iter::once(self.own.digest()).chain(digests).collect();
@@ -325,6 +383,11 @@
 
     /// Sends grow with the logarithm of the fleet, as rumours need to reach all of it.
     fn mark_fresh(&mut self, name: ids::DaemonName) {
+        let policy = self.record(&name).map_or(0, |record| record.policy);
+        if policy > self.policy {
+            self.policy = policy;
+            self.hurried = HURRIED_TICKS;
+        }
         let doublings = usize::BITS - (self.peers.len() + 1).leading_zeros();
         self.fresh.insert(name, SENDS_BASE + 2 * doublings);
     }
--- a/crates/state/src/members/tests.rs
+++ b/crates/state/src/members/tests.rs
@@ -21,6 +21,7 @@
         admin: address(n),
         leaving: false,
         policy: 0,
+        follows: false,
         upstreams: Vec::new(),
     })
 }
--- a/crates/testing/examples/measure/membership.rs
+++ b/crates/testing/examples/measure/membership.rs
@@ -131,6 +131,7 @@
         admin: address(3),
         leaving: false,
         policy: 0,
+        follows: false,
         upstreams: (0..upstreams).map(upstream).collect(),
     }
 }
--- a/crates/transport/src/socket.rs
+++ b/crates/transport/src/socket.rs
@@ -9,9 +9,9 @@
 /// Time until data that nobody acknowledges fails the connection.
 const UNACKNOWLEDGED_MAX: time::Duration = time::Duration::from_secs(5);
 /// Idle time before the kernel asks whether the other end is there.
-const KEEPALIVE_AFTER: time::Duration = time::Duration::from_secs(3);
+const KEEPALIVE_AFTER: time::Duration = time::Duration::from_secs(1);
 const KEEPALIVE_EVERY: time::Duration = time::Duration::from_secs(1);
-const KEEPALIVE_TRIES: u32 = 3;
+const KEEPALIVE_TRIES: u32 = 2;
 
 /// Opens a tuned connection.
 ///
