Count requests that hang while they run, let the shared budget save up for clumps

Change: a request that takes three times the usual time counts as failed while it runs. Retries of the shared budget can be saved for 2.5 s of first attempts; requests to a daemon's own service are not charged for repeated ones, as no service calls itself.

--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -35,9 +35,9 @@
 const STALL: std::time::Duration = std::time::Duration::from_secs(10);
 /// Multiple of the time that 95 of 100 requests stay below, after which a request counts as hung.
 const HEDGE_AFTER: f64 = 2.0;
-/// Part of the retries that the rules allow which the fleet uses; the rest covers daemons that know
-/// of too few others.
-const BUDGET_USED: f64 = 0.85;
+/// Part of the retries that the rules allow in ten seconds which the fleet earns; the rest is what it
+/// may have saved up before.
+const BUDGET_USED: f64 = 0.8;
 
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -1,7 +1,9 @@
 //! The one rule on sending a request again, and the budget that bounds how often.
 
+use std::f64::consts::LN_2;
 use std::time;
 
+use crate::latency;
 use crate::outcome;
 
 /// Why an attempt gave no answer.
@@ -115,6 +117,8 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
+    /// First attempts lately.
+    firsts: latency::Average,
 }
 
 /// A budget that the daemons of a fleet share.
@@ -128,6 +132,8 @@
     pub daemons: usize,
 }
 
+/// Time for which retries of a shared budget can be saved up: failures come in clumps.
+pub const SAVED_FOR: time::Duration = time::Duration::from_millis(2500);
 /// Retries that a service with little traffic may make in a row.
 const RESERVE: f64 = 10.0;
 /// Retries that can be saved up.
@@ -137,7 +143,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: RESERVE }
+        Self { tokens: RESERVE, firsts: latency::Average::new(SAVED_FOR.mul_f64(LN_2)) }
     }
 }
 
@@ -148,12 +154,15 @@
     }
 
     /// Counts a first attempt under a budget that the daemons of a fleet share. What they may spend
-    /// together never exceeds `ratio` of the first attempts plus `reserve` over any time.
+    /// together in a time never exceeds `ratio` of the first attempts in that time and in the about
+    /// [`SAVED_FOR`] before it, plus `reserve`.
     ///
     /// `repeats` is the likelihood that the request was made by one that is itself repeated, which
     /// counts as a retry.
-    pub fn deposit_shared(&mut self, shared: &Shared, repeats: f64) {
-        let most = f64::from(shared.reserve) / shared.daemons.max(1) as f64;
+    pub fn deposit_shared(&mut self, shared: &Shared, repeats: f64, now: time::Instant) {
+        self.firsts.record(1.0, now);
+        let reserve = f64::from(shared.reserve) / shared.daemons.max(1) as f64;
+        let most = reserve + shared.ratio * self.firsts.weight(now);
         self.tokens = (self.tokens + shared.ratio - repeats).min(most.max(1.0));
     }
 
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -52,20 +52,22 @@
 
 #[test]
 fn a_shared_budget_holds_over_the_fleet_when_everything_fails() {
-    let shared = Shared { ratio: 0.17, reserve: 51, daemons: 27 };
+    // Ten seconds in which everything fails, after a time in which nothing did.
+    let shared = Shared { ratio: 0.16, reserve: 48, daemons: 27 };
+    let start = time::Instant::now();
     let mut budgets = vec![Budget::default(); shared.daemons];
-    let (mut firsts, mut retries) = (0.0, 0.0);
-    for round in 0..200 {
+    let (mut firsts, mut retries) = (0.0, 0);
+    for round in 0..200_u32 {
+        let now = start + time::Duration::from_millis(100) * round;
         for budget in &mut budgets {
-            // A quiet time saves up, then every request fails twice.
-            budget.deposit_shared(&shared, 0.0);
+            budget.deposit_shared(&shared, 0.0, now);
             if round >= 100 {
                 firsts += 1.0;
-                retries +=
-                    [0, 1].map(|_| f64::from(u8::from(budget.withdraw()))).iter().sum::<f64>();
+                retries += (0..3).filter(|_| budget.withdraw()).count();
             }
         }
     }
+    let retries = retries as f64;
     assert!(retries <= 0.2 * firsts + 60.0, "{retries} retries of {firsts}");
     assert!(retries >= 0.15 * firsts, "{retries} retries of {firsts}");
 }
@@ -73,10 +75,13 @@
 #[test]
 fn calls_of_repeated_requests_use_the_shared_budget() {
     let shared = Shared { ratio: 0.2, reserve: 1, daemons: 1 };
+    let now = time::Instant::now();
     let mut budget = Budget::default();
+    budget.deposit_shared(&shared, 0.0, now);
+    while budget.withdraw() {}
     let allowed = (0..100).filter(|_| {
-        budget.deposit_shared(&shared, 0.2);
+        budget.deposit_shared(&shared, 0.2, now);
         budget.withdraw()
     });
-    assert_eq!(allowed.count(), 1);
+    assert_eq!(allowed.count(), 0);
 }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -323,15 +323,16 @@
     /// Counts a first attempt for the retry budget of its service.
     fn deposit(&self, service: &service::Service) {
         let now = self.tables.now();
-        // Calls that a repeated request makes count as repeats too.
-        let repeats = self.gate.repeat_share();
+        // Calls that a repeated request makes count as repeats too; none goes to its own service.
+        let is_own = *service.name == *self.identity.service;
+        let repeats = if is_own { 0.0 } else { self.gate.repeat_share() };
         let shared = service.retry_reserve.map(|reserve| retry::Shared {
             ratio: service.retry_ratio,
             reserve,
             daemons: self.tables.members().live(now).count(),
         });
         self.tables.with_traffic(&service.name, |traffic| match shared {
-            Some(shared) => traffic.budget.deposit_shared(&shared, repeats),
+            Some(shared) => traffic.budget.deposit_shared(&shared, repeats, now),
             None => traffic.budget.deposit(service.retry_ratio),
         });
     }
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -152,7 +152,7 @@
         };
         let request = hand_over::prepare(request, left, &marks);
         let no_body = *request.method() == http::Method::HEAD;
-        let mut trial = doubt_trial::Trial::start(upstream, started);
+        let mut trial = doubt_trial::Trial::start(upstream);
         let handed = self.await_answer(envelope, &slot, connection, request, deadline).await;
         let (response, mut connection) = handed.inspect_err(|ended| trial.failed(*ended))?;
         *took = Some(self.tables.now().saturating_duration_since(started));
--- a/crates/transport/src/gate/announcements.rs
+++ b/crates/transport/src/gate/announcements.rs
@@ -167,6 +167,7 @@
             upstream.set_limits(limits);
             upstream.pool.set_limit(service.connections);
             upstream.pool.expire(now);
+            upstream.note_overdue(now);
             upstream.start_ready(now);
         }
         if is_changed {
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One upstream at its gate: admission, connections and lease.
 
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -30,8 +31,21 @@
     doubt: sync::Mutex<doubt::Doubt>,
     /// Requests being run that had been tried before.
     repeats: atomic::AtomicU32,
+    /// Requests being run that have not taken too long yet, by number, oldest first.
+    trials: sync::Mutex<Trials>,
 }
 
+#[derive(Debug, Default)]
+struct Trials {
+    next: u64,
+    open: collections::VecDeque<(u64, time::Instant)>,
+}
+
+/// Multiple of the usual time from which a request without an answer counts as failed.
+const OVERDUE_FACTOR: u32 = 3;
+/// Shortest time after which a request without an answer counts as failed.
+const OVERDUE_MIN: time::Duration = time::Duration::from_millis(500);
+
 /// What the backend server last announced.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Lease {
@@ -72,6 +86,7 @@
             lease: sync::Mutex::new(lease),
             doubt,
             repeats: Default::default(),
+            trials: Default::default(),
         }
     }
 
@@ -129,6 +144,39 @@
         }
     }
 
+    /// Notes that a request has been handed over; the number names it.
+    pub fn start_trial(&self) -> u64 {
+        let mut trials = lock(&self.trials);
+        let number = trials.next;
+        trials.next += 1;
+        trials.open.push_back((number, self.clock.now()));
+        number
+    }
+
+    /// Notes that a request has ended; `false` if it had taken too long already, or had ended.
+    pub fn end_trial(&self, number: u64) -> bool {
+        let mut trials = lock(&self.trials);
+        let place = trials.open.iter().position(|(open, _)| *open == number);
+        place.and_then(|place| trials.open.remove(place)).is_some()
+    }
+
+    /// Counts requests that have been running for far longer than usual as failed, so that an
+    /// upstream that hangs is known before its callers give up.
+    pub fn note_overdue(&self, now: time::Instant) {
+        let usual = self.service_time().unwrap_or_default();
+        let patience = (usual * OVERDUE_FACTOR).max(OVERDUE_MIN);
+        loop {
+            let mut trials = lock(&self.trials);
+            let oldest = trials.open.front().map(|(_, started)| *started);
+            if oldest.is_none_or(|at| now.saturating_duration_since(at) < patience) {
+                return;
+            }
+            trials.open.pop_front();
+            drop(trials);
+            self.record_result(false);
+        }
+    }
+
     /// Tells whether the belief about the upstream lets a request run there.
     pub fn allows(&self, risk: doubt::Risk, now: time::Instant) -> bool {
         lock(&self.doubt).admit(risk, now)
