Let policy versions go round with heartbeats, send each record half as often

Each configuration changed the record of every daemon, and each change of a record was sent 17 times by each of 88 daemons; the flag of who follows the store flipped twice at each start.

Change: digests carry the policy version with the heartbeat; a new version only hastens rounds. Changed records are sent 9 times by each daemon (12 at 710). The flag is set only by daemons that go on following.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -64,7 +64,7 @@
             let step = stop.run_until_cancelled(self.step(is_following)).await;
             let Some(step) = step else { return };
             is_following = step.is_ok();
-            self.tell(is_following);
+            self.tell(is_following && self.is_needed());
             self.note(&step);
             if step.is_ok() {
                 pause = PAUSE_MIN;
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -56,6 +56,9 @@
         pub version: u64,
         /// Newest heartbeat known.
         pub beat: u64,
+        /// Policy version in force there with that heartbeat.
+        #[serde(default)]
+        pub policy: ids::PolicyVersion,
     }
 }
 
@@ -67,6 +70,7 @@
             incarnation: self.incarnation,
             version: self.version,
             beat: self.beat,
+            policy: self.policy,
         }
     }
 
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -42,8 +42,6 @@
     is_complete: bool,
     /// Ticks left in which each has a round.
     hurried: u32,
-    /// Newest policy version heard of.
-    policy: ids::PolicyVersion,
 }
 
 #[derive(Debug, Clone)]
@@ -107,7 +105,8 @@
 pub const GONE_AFTER: time::Duration = time::Duration::from_secs(120);
 const DIGESTS_MAX: usize = 160;
 const RECORDS_MAX: usize = 16;
-const SENDS_BASE: u32 = 3;
+/// Sends of a changed record by each daemon, besides one for each doubling of the fleet.
+const SENDS_BASE: u32 = 2;
 
 impl Members {
     /// Returns a table that knows only the daemon's own record.
@@ -122,7 +121,6 @@
             generation: 1,
             is_complete: false,
             hurried: 0,
-            policy: 0,
         }
     }
 
@@ -148,6 +146,14 @@
         Followers { following: follow.count(), before: before.count() }
     }
 
+    /// Notes the policy version in force. It goes round with the heartbeat rather than as a change
+    /// of the record, as every daemon has one at each new version.
+    pub fn set_policy(&mut self, version: ids::PolicyVersion) {
+        self.own.policy = version;
+        self.own.beat += 1;
+        self.hurried = HURRIED_TICKS;
+    }
+
     /// Changes the own record and marks it for spreading.
     pub fn update_own(&mut self, change: impl FnOnce(&mut member::Record)) {
         change(&mut self.own);
@@ -316,7 +322,7 @@
         }
         let known = self.peers.get_mut(&record.daemon);
         if let Some(peer) = known.filter(|peer| !record.is_newer_than(&peer.record.digest())) {
-            peer.heard_beat(record.incarnation, record.beat, now);
+            peer.heard_beat(&record.digest(), now);
             return;
         }
         let old = self.peers.get(&record.daemon).map(|peer| &peer.record);
@@ -350,7 +356,7 @@
         if (digest.incarnation, digest.version) > known {
             return Lacks::Receiver;
         }
-        peer.heard_beat(digest.incarnation, digest.beat, now);
+        peer.heard_beat(digest, now);
         Lacks::Neither
     }
 
@@ -383,13 +389,8 @@
 
     /// Sends grow with the logarithm of the fleet, as rumours need to reach all of it.
     fn mark_fresh(&mut self, name: ids::DaemonName) {
-        let policy = self.record(&name).map_or(0, |record| record.policy);
-        if policy > self.policy {
-            self.policy = policy;
-            self.hurried = HURRIED_TICKS;
-        }
         let doublings = usize::BITS - (self.peers.len() + 1).leading_zeros();
-        self.fresh.insert(name, SENDS_BASE + 2 * doublings);
+        self.fresh.insert(name, SENDS_BASE + doublings);
     }
 }
 
@@ -405,9 +406,10 @@
         now.saturating_duration_since(self.heard) < patience
     }
 
-    fn heard_beat(&mut self, incarnation: ids::Incarnation, beat: u64, now: time::Instant) {
-        if incarnation == self.record.incarnation && beat > self.record.beat {
-            self.record.beat = beat;
+    fn heard_beat(&mut self, digest: &member::Digest, now: time::Instant) {
+        if digest.incarnation == self.record.incarnation && digest.beat > self.record.beat {
+            self.record.beat = digest.beat;
+            self.record.policy = self.record.policy.max(digest.policy);
             self.heard = now;
         }
     }
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -106,7 +106,7 @@
         policy.view = sync::Arc::new(view);
         let version = policy.reducer.version;
         drop(policy);
-        self.members().update_own(|own| own.policy = version);
+        self.members().set_policy(version);
         self.event(event::Kind::PolicyInForce { version });
     }
 
