Hold callers to the policy's limits

Cause: the limits of the configuration were decoded and never used; a connection idle for 10 s was closed although callers may use it again for four fifths of the policy's 15 s.

Change: time for a head and while idle, size of a head and of a body come from the policy; a longer body is refused with 413, not run. Test with the platform's stand-ins.

Measured: the new test passes, and by construction fails without the check (the request would reach the instance).

--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -42,6 +42,8 @@
         Shed,
         /// Another backend server than the one meant has the address; it did not run the request.
         Misdirected,
+        /// The request's body is longer than the policy allows.
+        BodyTooLarge,
         /// The gate doubts the upstream, and the request cannot be repeated if it fails there.
         Doubtful,
     }
@@ -123,7 +125,7 @@
 
 impl Refusal {
     /// All refusals, for decoding and tests.
-    pub const ALL: [Refusal; 17] = [
+    pub const ALL: [Refusal; 18] = [
         Refusal::BadRequest,
         Refusal::UnknownKey,
         Refusal::Forbidden,
@@ -140,6 +142,7 @@
         Refusal::NotAuthorised,
         Refusal::Shed,
         Refusal::Misdirected,
+        Refusal::BodyTooLarge,
         Refusal::Doubtful,
     ];
 
@@ -162,6 +165,7 @@
             Refusal::NotAuthorised => "not-authorised",
             Refusal::Shed => "shed",
             Refusal::Misdirected => "misdirected",
+            Refusal::BodyTooLarge => "body-too-large",
             Refusal::Doubtful => "doubtful",
         }
     }
@@ -188,6 +192,7 @@
             Refusal::UnknownKey => 401,
             Refusal::Forbidden | Refusal::NotAuthorised => 403,
             Refusal::NoRoute => 404,
+            Refusal::BodyTooLarge => 413,
             Refusal::RateLimited => 429,
             _ => 503,
         }
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -222,6 +222,9 @@
         let view = self.tables.view();
         let key = asked.key.as_deref();
         let decision = view.decide(&asked.host, &asked.path, head.method.as_str(), key)?;
+        if body_length(&head.headers).is_some_and(|length| length > view.limits.body_size) {
+            return Err(outcome::Refusal::BodyTooLarge);
+        }
         self.check_rate(&decision, now)?;
         let wait =
             asked.timeout.map_or(decision.route.deadline, |t| t.min(decision.route.deadline));
@@ -507,6 +510,11 @@
     })
 }
 
+/// Reads the length that a request states for its body.
+fn body_length(headers: &http::HeaderMap) -> Option<u64> {
+    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 fn count(service: &str, outcome: outcome::Outcome) {
     metrics::counter!(
         "lynxmast_requests_total",
@@ -520,6 +528,15 @@
 impl<C: clock::Clock> server::Handler for Entry<C> {
     type Body = body::AnswerBody<C>;
 
+    /// A connection may stay idle for as long as the policy says, and the time for a head counts
+    /// from the end of the request before.
+    fn limits(&self) -> server::Limits {
+        let view = self.tables.view();
+        let limits = &view.limits;
+        let head_time = limits.head_time.max(limits.idle_time);
+        server::Limits { head_size: limits.head_size, head_time }
+    }
+
     async fn handle(
         &self,
         request: http::Request<Incoming>,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -20,8 +20,28 @@
 use crate::peers;
 use crate::socket;
 
+/// What those who connect may send, and how long they may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head_size: usize,
+    /// Time to send a request's head; counts from the end of the request before.
+    pub head_time: time::Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { head_size: HEAD_SIZE_MAX, head_time: HEAD_MAX }
+    }
+}
+
 /// What a server does with requests.
 pub trait Handler: Send + Sync + 'static {
+    /// Returns the limits of a connection that is opened now.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
     /// Body of the answers.
     type Body: Body<Data = bytes::Bytes, Error = body_error::BodyError> + Send + 'static;
 
@@ -45,6 +65,8 @@
 const HEAD_MAX: time::Duration = time::Duration::from_secs(10);
 /// Largest head of an HTTP/1 request in bytes.
 const HEAD_SIZE_MAX: usize = 64 * 1024;
+/// Smallest read buffer that the HTTP library takes, in bytes.
+const HEAD_SIZE_MIN: usize = 8 * 1024;
 /// Headers of one HTTP/1 request at most.
 const HEADERS_MAX: usize = 100;
 /// Pause after a failure to accept, such as too many open files.
@@ -73,7 +95,6 @@
     /// Serves until `stop`, then lets open connections finish and returns.
     pub async fn run<H: Handler>(self, handler: sync::Arc<H>, stop: CancellationToken) {
         let graceful = graceful::GracefulShutdown::new();
-        let builder = builder();
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -88,15 +109,16 @@
                 metrics::counter!("lynxmast_connections_refused_total").increment(1);
                 continue;
             }
+            let limits = handler.limits();
             let handler = handler.clone();
             let stopped = stop.clone();
             let serve = service::service_fn(move |request| {
                 let handler = handler.clone();
                 async move { Ok::<_, convert::Infallible>(handler.handle(request, peer).await) }
             });
-            let (builder, watcher) = (builder.clone(), graceful.watcher());
+            let (builder, watcher) = (builder(limits), graceful.watcher());
             tokio::spawn(async move {
-                if !speaks_in_time(&stream, &stopped).await {
+                if !speaks_in_time(&stream, &stopped, limits.head_time).await {
                     return;
                 }
                 let connection = builder.serve_connection(rt::TokioIo::new(stream), serve);
@@ -112,21 +134,25 @@
 }
 
 /// Waits for the first byte; a connection that sends none for too long is closed.
-async fn speaks_in_time(stream: &tcp::TcpStream, stop: &CancellationToken) -> bool {
+async fn speaks_in_time(
+    stream: &tcp::TcpStream,
+    stop: &CancellationToken,
+    limit: time::Duration,
+) -> bool {
     let mut first = [0];
-    let spoken = tokio::time::timeout(HEAD_MAX, stream.peek(&mut first));
+    let spoken = tokio::time::timeout(limit, stream.peek(&mut first));
     let spoken = stop.run_until_cancelled(spoken).await;
     matches!(spoken, Some(Ok(Ok(1..))))
 }
 
-fn builder() -> auto::Builder<rt::TokioExecutor> {
+fn builder(limits: Limits) -> auto::Builder<rt::TokioExecutor> {
     let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEAD_MAX)
+        .header_read_timeout(limits.head_time)
         .max_headers(HEADERS_MAX)
-        .max_buf_size(HEAD_SIZE_MAX);
+        .max_buf_size(limits.head_size.max(HEAD_SIZE_MIN));
     builder
         .http2()
         .timer(rt::TokioTimer::new())
