Do not let requests wait in turn for a gate that is dark

The connection's lock was held while connecting, so that each request that waited for it then tried for 500 ms itself.

Change: whoever waited while a connection could not be opened takes that as its answer; connecting takes 300 ms at most. The test of ten requests at an address that does not answer takes 0.3 s; without the change it would take ten times the limit.

--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -23,7 +23,14 @@
 #[derive(Debug)]
 struct Peer {
     address: net::SocketAddr,
-    sender: tokio::sync::Mutex<Option<Sender>>,
+    connection: tokio::sync::Mutex<Connection>,
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    sender: Option<Sender>,
+    /// When a connection could last not be opened.
+    failed: Option<time::Instant>,
 }
 
 type Sender = http2::SendRequest<replay::Attempt>;
@@ -49,7 +56,9 @@
 pub const HEADERS_MAX: u32 = 64 * 1024;
 /// Time between pings while requests are outstanding, and the longest wait for their answer.
 pub const PING_EVERY: time::Duration = time::Duration::from_secs(1);
-const CONNECT_MAX: time::Duration = time::Duration::from_millis(500);
+/// Longest wait for a connection to a gate: many round trips between failure domains, and well below
+/// the objective of any route, as the request may still go elsewhere.
+const CONNECT_MAX: time::Duration = time::Duration::from_millis(300);
 
 impl Peers {
     /// Sends a request to a gate and returns the head of its answer.
@@ -90,7 +99,7 @@
     }
 
     fn peer(&self, address: net::SocketAddr) -> sync::Arc<Peer> {
-        let new = || sync::Arc::new(Peer { address, sender: Default::default() });
+        let new = || sync::Arc::new(Peer { address, connection: Default::default() });
         self.lock().entry(address).or_insert_with(new).clone()
     }
 
@@ -102,15 +111,23 @@
 impl Peer {
     /// Returns a sender on a live connection, opening one if needed.
     async fn sender(&self) -> Result<Sender, PeerError> {
-        let mut current = self.sender.lock().await;
-        if let Some(sender) = current.as_ref().filter(|sender| !sender.is_closed()) {
+        let asked = time::Instant::now();
+        let mut current = self.connection.lock().await;
+        if let Some(sender) = current.sender.as_ref().filter(|sender| !sender.is_closed()) {
             return Ok(sender.clone());
         }
-        if current.take().is_some() {
+        if current.sender.take().is_some() {
             metrics::counter!("lynxmast_gate_connections_replaced_total").increment(1);
         }
-        let sender = connect(self.address).await.ok_or(PeerError::Unreachable)?;
-        *current = Some(sender.clone());
+        // What failed while this request waited for its turn would fail again.
+        if current.failed.is_some_and(|failed| failed >= asked) {
+            return Err(PeerError::Unreachable);
+        }
+        let Some(sender) = connect(self.address).await else {
+            current.failed = Some(time::Instant::now());
+            return Err(PeerError::Unreachable);
+        };
+        current.sender = Some(sender.clone());
         Ok(sender)
     }
 }
@@ -135,3 +152,6 @@
     });
     Some(sender)
 }
+
+#[cfg(test)]
+mod tests;
