--- a/crates/testing/tests/pages.rs
+++ b/crates/testing/tests/pages.rs
@@ -63,6 +63,7 @@
     let matrix = fs::read_to_string(root().join("docs/FAULT-MATRIX.md")).expect("the matrix");
     let mut code = String::new();
     sources(&root().join("crates"), &mut code);
+    sources(&root().join("platform"), &mut code);
     let quoted = matrix.split('`').skip(1).step_by(2).filter(|name| !name.contains('/'));
     let mut cells = 0;
     for name in quoted {
