Keep the retry budget of called services, ask any daemon that is ahead, miss no configuration

A daemon that starts had its reserve to spend again.

Change: a service earns half of the allowed ratio; a call is charged by the share of repeats among the repeatable requests; reserves are smaller and a start has two thirds of one. Peers that are ahead are asked at random, half a second at most; hurried rounds go everywhere.

--- a/crates/coordination/src/control_client.rs
+++ b/crates/coordination/src/control_client.rs
@@ -36,7 +36,10 @@
 
 /// Connections kept open; the ones used longest ago are closed first.
 const OPEN_MAX: usize = 32;
-const CONNECT_MAX: time::Duration = time::Duration::from_millis(500);
+const CONNECT_MAX: time::Duration = time::Duration::from_millis(300);
+/// Longest wait for a newer policy from one daemon; a few of them fit into the time in which a
+/// configuration has to be in force.
+const CATCH_UP_WITHIN: time::Duration = time::Duration::from_millis(500);
 const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(2);
 /// Largest control message in bytes.
 pub const MESSAGE_MAX: usize = 16 * 1024 * 1024;
@@ -88,7 +91,7 @@
         from: u64,
     ) -> Result<control::CatchUp, ControlError> {
         let client = self.client(to).await?;
-        let answer = client.catch_up(deadline(), self.sender.clone(), from).await;
+        let answer = client.catch_up(within(CATCH_UP_WITHIN), self.sender.clone(), from).await;
         self.check(to, answer)
     }
 
@@ -142,7 +145,11 @@
 }
 
 fn deadline() -> context::Context {
+    within(ANSWER_WITHIN)
+}
+
+fn within(limit: time::Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = time::Instant::now() + ANSWER_WITHIN;
+    context.deadline = time::Instant::now() + limit;
     context
 }
--- a/crates/coordination/src/peer_policy.rs
+++ b/crates/coordination/src/peer_policy.rs
@@ -9,6 +9,8 @@
 use lynxmast_state::member;
 use lynxmast_state::policy::edit;
 use lynxmast_state::tables;
+use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use crate::control_client;
 use crate::history;
@@ -24,6 +26,8 @@
     pub history: sync::Arc<history::History>,
 }
 
+/// Share of the looks that ask a daemon of the own failure domain, while one there is ahead.
+const NEAR_SHARE: f64 = 0.6;
 /// Daemons whose word replaces that of the log or store after a start.
 const PEERS_ENOUGH: usize = 2;
 
@@ -64,13 +68,19 @@
         }
     }
 
-    /// Returns a live daemon whose policy is newer, the newest first.
+    /// Returns a live daemon whose policy is newer: any of them, as some may be out of reach, but
+    /// mostly one of the own failure domain.
     fn newer_peer(&self) -> Option<net::SocketAddr> {
         let own = self.tables.with_reducer(|reducer| reducer.version);
         let members = self.tables.members();
+        let is_near = |record: &&member::Record| record.domain == members.own().domain;
         let newer = members.live(self.tables.now()).filter(|record| record.policy > own);
-        let near = |record: &member::Record| record.domain == members.own().domain;
-        newer.max_by_key(|record| (near(record), record.policy)).map(|record| record.control)
+        let (near, far): (Vec<_>, Vec<_>) = newer.partition(is_near);
+        let mut rng = rand::rng();
+        let wants_near = far.is_empty() || rng.random_bool(NEAR_SHARE);
+        let (first, second) = if wants_near { (near, far) } else { (far, near) };
+        let chosen = first.choose(&mut rng).or_else(|| second.choose(&mut rng));
+        chosen.map(|record| record.control)
     }
 
     /// Applies the record at `offset` and keeps it for those behind.
--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -35,14 +35,17 @@
 const STALL: std::time::Duration = std::time::Duration::from_secs(10);
 /// Multiple of the time that 95 of 100 requests stay below, after which a request counts as hung.
 const HEDGE_AFTER: f64 = 2.0;
-/// Part of the retries that the rules allow in ten seconds which the fleet earns; the rest is what it
-/// may have saved up before.
-const BUDGET_USED: f64 = 0.8;
+/// Part of the retries that the rules allow which a service earns; the rest is for the calls that
+/// repeated requests of other services make again, which count against it too, and for what was saved.
+const BUDGET_USED: f64 = 0.5;
+/// Part of the retries beyond the ratio that the daemons may save up; the rest is for daemons that
+/// start, who do not know what was spent before.
+const RESERVE_USED: f64 = 0.3;
 
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
     pub fn new(address: net::SocketAddr, settings: &settings::Services, clock: C) -> Self {
-        let reserve = f64::from(settings.retry_reserve) * BUDGET_USED;
+        let reserve = f64::from(settings.retry_reserve) * RESERVE_USED;
         let service = service::Service {
             slots: SLOTS_MAX,
             queue: QUEUE,
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -223,7 +223,8 @@
     /// Chooses up to `count` daemons to exchange with.
     pub fn partners(&self, count: usize, rng: &mut impl Rng) -> Vec<net::SocketAddr> {
         let is_near = |peer: &&Peer| peer.record.domain == self.own.domain;
-        let wants_near = !self.has_urgent() && rng.random_bool(NEAR_SHARE);
+        let is_urgent = self.hurried > 0 || self.has_urgent();
+        let wants_near = !is_urgent && rng.random_bool(NEAR_SHARE);
         let near = self.peers.values().filter(is_near).choose_multiple(rng, count);
         let chosen = if wants_near && near.len() == count {
             near
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -134,6 +134,8 @@
 
 /// Time for which retries of a shared budget can be saved up: failures come in clumps.
 pub const SAVED_FOR: time::Duration = time::Duration::from_millis(2500);
+/// Part of its reserve that a daemon starts with: it does not know what its predecessor has spent.
+const START_PART: f64 = 2.0 / 3.0;
 /// Retries that a service with little traffic may make in a row.
 const RESERVE: f64 = 10.0;
 /// Retries that can be saved up.
@@ -160,8 +162,11 @@
     /// `repeats` is the likelihood that the request was made by one that is itself repeated, which
     /// counts as a retry.
     pub fn deposit_shared(&mut self, shared: &Shared, repeats: f64, now: time::Instant) {
-        self.firsts.record(1.0, now);
         let reserve = f64::from(shared.reserve) / shared.daemons.max(1) as f64;
+        if self.firsts.value().is_none() {
+            self.tokens = reserve * START_PART;
+        }
+        self.firsts.record(1.0, now);
         let most = reserve + shared.ratio * self.firsts.weight(now);
         self.tokens = (self.tokens + shared.ratio - repeats).min(most.max(1.0));
     }
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -53,7 +53,7 @@
 #[test]
 fn a_shared_budget_holds_over_the_fleet_when_everything_fails() {
     // Ten seconds in which everything fails, after a time in which nothing did.
-    let shared = Shared { ratio: 0.16, reserve: 48, daemons: 27 };
+    let shared = Shared { ratio: 0.16, reserve: 36, daemons: 27 };
     let start = time::Instant::now();
     let mut budgets = vec![Budget::default(); shared.daemons];
     let (mut firsts, mut retries) = (0.0, 0);
@@ -85,3 +85,23 @@
     });
     assert_eq!(allowed.count(), 0);
 }
+
+#[test]
+fn a_fleet_that_starts_again_stays_within_the_window() {
+    // All reserves are spent, then all daemons start anew and fail everything again.
+    let shared = Shared { ratio: 0.16, reserve: 36, daemons: 27 };
+    let start = time::Instant::now();
+    let (mut firsts, mut retries) = (0.0, 0);
+    for half in 0..2_u32 {
+        let mut budgets = vec![Budget::default(); shared.daemons];
+        for round in 0..50 {
+            let now = start + time::Duration::from_millis(100) * (50 * half + round);
+            for budget in &mut budgets {
+                budget.deposit_shared(&shared, 0.0, now);
+                firsts += 1.0;
+                retries += (0..3).filter(|_| budget.withdraw()).count();
+            }
+        }
+    }
+    assert!(retries as f64 <= 0.2 * firsts + 60.0, "{retries} retries of {firsts}");
+}
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -16,6 +16,7 @@
 use lynxmast_protocol::envelope;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::doubt;
 use lynxmast_state::event;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
@@ -250,7 +251,12 @@
             return Err(retry::Ended::NotRun(outcome::Refusal::Doubtful));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(retry::Ended::NotRun)?;
-        let slot = if envelope.repeat { slot.of_repeat() } else { slot };
+        let kind = match (envelope.repeat, envelope.risk) {
+            (true, _) => upstream::Kind::Repeat,
+            (false, doubt::Risk::Probe | doubt::Risk::Any) => upstream::Kind::Repeatable,
+            (false, doubt::Risk::Avoid | doubt::Risk::Accept) => upstream::Kind::Once,
+        };
+        let slot = slot.of_kind(kind);
         Ok((slot, service.stall))
     }
 
@@ -273,16 +279,16 @@
         Err(outcome::Refusal::PolicyBehind)
     }
 
-    /// Returns the share of the requests being run here that had been tried before.
+    /// Returns the share of the repeatable requests being run here that had been tried before: the
+    /// likelihood that a call made here counts as repeated, if it is such a request's.
     pub fn repeat_share(&self) -> f64 {
         let upstreams = self.read();
         let repeats: u32 = upstreams.values().map(|upstream| upstream.repeats()).sum();
         if repeats == 0 {
             return 0.0;
         }
-        let now = self.tables.now();
-        let in_use: u32 = upstreams.values().map(|upstream| upstream.load(now).in_use).sum();
-        f64::from(repeats) / f64::from(in_use.max(repeats))
+        let all: u32 = upstreams.values().map(|upstream| upstream.repeatable()).sum();
+        f64::from(repeats) / f64::from(all.max(repeats))
     }
 
     /// Notes that a request that began on this VM failed.
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -31,6 +31,8 @@
     doubt: sync::Mutex<doubt::Doubt>,
     /// Requests being run that had been tried before.
     repeats: atomic::AtomicU32,
+    /// Requests being run that may be repeated, those that have been included.
+    repeatable: atomic::AtomicU32,
     /// Requests being run that have not taken too long yet, by number, oldest first.
     trials: sync::Mutex<Trials>,
 }
@@ -68,7 +70,19 @@
     class: admission::Class,
     taken: time::Instant,
     handed_over: atomic::AtomicBool,
-    is_repeat: bool,
+    kind: Kind,
+}
+
+/// Whether a request may be, or has been, handed to a backend server more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Kind {
+    /// It must not be.
+    #[default]
+    Once,
+    /// It may be, and this is the first time.
+    Repeatable,
+    /// It has been.
+    Repeat,
 }
 
 impl<C: clock::Clock> Upstream<C> {
@@ -86,6 +100,7 @@
             lease: sync::Mutex::new(lease),
             doubt,
             repeats: Default::default(),
+            repeatable: Default::default(),
             trials: Default::default(),
         }
     }
@@ -95,6 +110,11 @@
         self.repeats.load(atomic::Ordering::Acquire)
     }
 
+    /// Returns the number of requests being run that may be repeated.
+    pub fn repeatable(&self) -> u32 {
+        self.repeatable.load(atomic::Ordering::Acquire)
+    }
+
     /// Returns slots in use, waiting requests and open slots.
     pub fn load(&self, now: time::Instant) -> load::Load {
         lock(&self.admission).load(now)
@@ -269,7 +289,7 @@
             class,
             taken,
             handed_over: Default::default(),
-            is_repeat: false,
+            kind: Kind::Once,
         }
     }
 }
@@ -280,13 +300,22 @@
         &self.upstream
     }
 
-    /// Marks the slot as taken for a request that had been tried before.
-    pub fn of_repeat(mut self) -> Self {
-        self.upstream.repeats.fetch_add(1, atomic::Ordering::AcqRel);
-        self.is_repeat = true;
+    /// Says what kind of request the slot is taken for.
+    pub fn of_kind(mut self, kind: Kind) -> Self {
+        self.kind = kind;
+        for counter in self.counters() {
+            counter.fetch_add(1, atomic::Ordering::AcqRel);
+        }
         self
     }
 
+    /// Counters that the request is counted in.
+    fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
+        let repeatable = (self.kind != Kind::Once).then_some(&self.upstream.repeatable);
+        let repeats = (self.kind == Kind::Repeat).then_some(&self.upstream.repeats);
+        repeatable.into_iter().chain(repeats)
+    }
+
     /// Reads the clock of the gate.
     pub fn now(&self) -> time::Instant {
         self.upstream.clock.now()
@@ -300,8 +329,8 @@
 
 impl<C: clock::Clock> Drop for Slot<C> {
     fn drop(&mut self) {
-        if self.is_repeat {
-            self.upstream.repeats.fetch_sub(1, atomic::Ordering::AcqRel);
+        for counter in self.counters() {
+            counter.fetch_sub(1, atomic::Ordering::AcqRel);
         }
         let now = self.upstream.clock.now();
         let took = now.saturating_duration_since(self.taken);
