Serve metrics at a fixed port, notice suspensions, read changed settings without a signal

Change: optional listen.metrics serves the operators' interface once more, a taken port is logged and passed over; clock::Clock::suspended from CLOCK_BOOTTIME, a tick notices a gap, drops idle connections and asks for the newest policy; the file is compared every 5 s, and changed settings of services are in force at once. Events of the time line write their lines. Tests: metrics_port, document_follower::tests, reload::tests, on_store::changed_settings.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -24,6 +24,8 @@
     pub source: S,
     /// Whether the source answers.
     pub state: sync::Arc<follower::FollowerState>,
+    /// Tells that what was heard before may be old; the newest document is asked for at once.
+    pub resumed: sync::Arc<tokio::sync::Notify>,
 }
 
 /// Keeps a daemon's policy at what its peers know.
@@ -61,8 +63,15 @@
                 stop.run_until_cancelled(tokio::time::sleep(NEEDED_EVERY)).await;
                 continue;
             }
-            let step = stop.run_until_cancelled(self.step(is_following)).await;
-            let Some(step) = step else { return };
+            let resumed = self.resumed.clone();
+            let step = tokio::select! {
+                step = self.step(is_following) => step,
+                () = resumed.notified() => {
+                    is_following = false;
+                    continue;
+                }
+                () = stop.cancelled() => return,
+            };
             is_following = step.is_ok();
             self.tell(is_following && self.is_needed());
             self.note(&step);
@@ -140,3 +149,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -98,7 +98,6 @@
             members::Change::Draining(upstream) => event::Kind::UpstreamDraining { upstream },
             members::Change::Withdrawn(upstream) => event::Kind::UpstreamGone { upstream },
         };
-        log::info!("{kind}");
         tables.event(kind);
     }
     tables.sync_router();
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -19,7 +19,10 @@
 use lynxmast_protocol::control;
 use lynxmast_state::clock;
 use lynxmast_state::event;
+use lynxmast_state::ids;
 use lynxmast_state::member;
+use lynxmast_state::policy::service;
+use lynxmast_state::suspension;
 use lynxmast_state::tables;
 use lynxmast_transport::beside;
 use lynxmast_transport::entry;
@@ -48,6 +51,8 @@
     stop: CancellationToken,
     entry_tasks: TaskTracker,
     tasks: TaskTracker,
+    /// Tells that the VM was suspended: what was heard before is old.
+    resumed: sync::Arc<tokio::sync::Notify>,
 }
 
 /// Why a daemon does not start.
@@ -100,7 +105,7 @@
         let state = parts.daemon.start_log_coordination(&settings, log, parts.control);
         let beside = beside::Beside::new(parts.daemon.gate.clone());
         parts.daemon.serve(parts.beside, beside);
-        parts.daemon.serve_admin(parts.admin, state, metrics);
+        parts.daemon.serve_admin(parts.admin, parts.metrics, state, metrics);
         parts.daemon.serve_requests(settings, parts.entry, parts.gate);
         Ok(parts.daemon)
     }
@@ -121,7 +126,7 @@
         let daemon = parts.daemon;
         let state = daemon.start_store_coordination(&settings, &platform, parts.control);
         daemon.serve(parts.beside, platform.beside(daemon.gate.clone()));
-        daemon.serve_admin(parts.admin, state, metrics);
+        daemon.serve_admin(parts.admin, parts.metrics, state, metrics);
         daemon.serve_requests(settings, parts.entry, parts.gate);
         Ok(daemon)
     }
@@ -129,11 +134,15 @@
     fn serve_admin(
         &self,
         port: server::Server,
+        metrics_port: Option<server::Server>,
         follower: sync::Arc<follower::FollowerState>,
         metrics: Option<prometheus::PrometheusHandle>,
     ) {
         let (tables, gate) = (self.tables.clone(), self.gate.clone());
-        self.serve(port, admin::Admin { tables, gate, follower, metrics });
+        let admin = sync::Arc::new(admin::Admin { tables, gate, follower, metrics });
+        for port in std::iter::once(port).chain(metrics_port) {
+            self.tasks.spawn(port.run(admin.clone(), self.stop.clone()));
+        }
     }
 
     fn serve_requests(
@@ -156,7 +165,13 @@
         self.entry_tasks.spawn(serving);
         self.tick(entry);
         tables.event(event::Kind::Started);
-        log::info!(event = "started", daemon = &*settings.name, entry:% = self.listen.entry; "");
+        log::info!(
+            event = "started",
+            daemon = &*settings.name,
+            entry:% = self.listen.entry,
+            gate:% = self.listen.gate;
+            ""
+        );
     }
 
     fn start_log_coordination<L: platform_log::Log>(
@@ -211,6 +226,7 @@
             tables: tables.clone(),
             source: platform.documents(),
             state: state.clone(),
+            resumed: self.resumed.clone(),
         };
         self.tasks.spawn(follower.run(self.stop.clone()));
         state
@@ -246,8 +262,16 @@
     /// Does regularly what neither requests nor messages start.
     fn tick(&self, entry: sync::Arc<entry::Entry<C>>) {
         let (gate, stop) = (self.gate.clone(), self.stop.clone());
+        let (tables, resumed) = (self.tables.clone(), self.resumed.clone());
+        let mut suspension = suspension::Suspension::new(&tables.clock);
         self.tasks.spawn(async move {
             while stop.run_until_cancelled(tokio::time::sleep(TICK)).await.is_some() {
+                if let Some(gap) = suspension.notice(&tables.clock) {
+                    let suspended_ms = gap.as_millis() as u64;
+                    tables.event(event::Kind::Resumed { suspended_ms });
+                    gate.resume();
+                    resumed.notify_one();
+                }
                 gate.tick();
                 entry.tick();
             }
@@ -257,7 +281,7 @@
     /// Shuts down: tells the fleet, lets callers see that the daemon is not ready, refuses new work,
     /// and waits for what is in flight until the limit of the settings.
     pub async fn shutdown(&self) -> Shutdown {
-        log::info!(event = "stopping"; "shutdown started");
+        log::info!(event = "stopping", daemon = &*self.name(), gate:% = self.listen.gate; "");
         self.tables.event(event::Kind::ShutdownStarted);
         self.gate.announce_close();
         self.tables.members().update_own(|own| own.leaving = true);
@@ -265,7 +289,13 @@
         let finished = tokio::time::timeout(limit, self.finish_requests()).await;
         let in_flight = self.gate.in_flight();
         self.tables.event(event::Kind::Stopped);
-        log::info!(event = "stopped", in_flight; "shutdown ended");
+        log::info!(
+            event = "stopped",
+            daemon = &*self.name(),
+            gate:% = self.listen.gate,
+            in_flight;
+            ""
+        );
         self.stop.cancel();
         self.entry_stop.cancel();
         match finished {
@@ -292,6 +322,22 @@
         }
     }
 
+    /// Puts what the settings state of services into force for the policy that is.
+    pub fn revise_services(&self, revised: &service::Service) {
+        self.tables.revise_policy(|document| {
+            let sections = document.sections.values_mut();
+            for service in sections.flat_map(|section| &mut section.service) {
+                service.retry_ratio = revised.retry_ratio;
+                service.retry_reserve = revised.retry_reserve;
+                service.floor_share = revised.floor_share;
+            }
+        });
+    }
+
+    fn name(&self) -> ids::DaemonName {
+        self.tables.members().own().daemon.clone()
+    }
+
     /// Ends everything at once, without telling anyone.
     pub fn kill(&self) {
         self.entry_stop.cancel();
@@ -306,6 +352,7 @@
     gate: server::Server,
     beside: server::Server,
     admin: server::Server,
+    metrics: Option<server::Server>,
     control: tcp::TcpListener,
 }
 
@@ -315,7 +362,8 @@
         clock: C,
         speech: gate::Speech,
     ) -> Result<Self, StartError> {
-        let Ports { listen, entry, gate, beside, admin, control } = Ports::open(settings).await?;
+        let Ports { listen, entry, gate, beside, admin, metrics, control } =
+            Ports::open(settings).await?;
         let own = own_record(settings, &listen, &clock);
         let tables = sync::Arc::new(tables::Tables::new(own, settings.limits.balance, clock));
         let daemon = Daemon {
@@ -327,8 +375,9 @@
             stop: CancellationToken::new(),
             entry_tasks: TaskTracker::new(),
             tasks: TaskTracker::new(),
+            resumed: Default::default(),
         };
-        Ok(Self { daemon, entry, gate, beside, admin, control })
+        Ok(Self { daemon, entry, gate, beside, admin, metrics, control })
     }
 }
 
@@ -339,6 +388,7 @@
     gate: server::Server,
     beside: server::Server,
     admin: server::Server,
+    metrics: Option<server::Server>,
     control: tcp::TcpListener,
 }
 
@@ -350,6 +400,7 @@
         let gate = open("gate", listen.gate, inner).await?;
         let beside = open("beside", listen.beside, inner).await?;
         let admin = open("admin", listen.admin, inner).await?;
+        let metrics = open_metrics(listen.metrics, inner).await;
         let failed = |error| StartError::Listen("control", listen.control, error);
         let control = control_server::bind(listen.control).await.map_err(failed)?;
         let bound = settings::Listen {
@@ -358,8 +409,9 @@
             beside: beside.address().unwrap_or(listen.beside),
             admin: admin.address().unwrap_or(listen.admin),
             control: control.local_addr().unwrap_or(listen.control),
+            metrics: metrics.as_ref().and_then(|port| port.address().ok()),
         };
-        Ok(Self { listen: bound, entry, gate, beside, admin, control })
+        Ok(Self { listen: bound, entry, gate, beside, admin, metrics, control })
     }
 }
 
@@ -372,6 +424,19 @@
     opened.map_err(|error| StartError::Listen(name, address, error))
 }
 
+/// Opens the further port for metrics, if one is set. Requests do not depend on it, so that a
+/// daemon serves without it where something else has the port.
+async fn open_metrics(
+    address: Option<net::SocketAddr>,
+    connections: usize,
+) -> Option<server::Server> {
+    let opened = server::Server::bind(address?, connections).await;
+    let failed = |error: &std::io::Error| {
+        log::warn!(event = "metrics", address:? = address, reason:% = error; "port not opened");
+    };
+    opened.inspect_err(failed).ok()
+}
+
 fn own_record<C: clock::Clock>(
     settings: &settings::Settings,
     listen: &settings::Listen,
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -88,13 +88,14 @@
     let reload = reload::Reload::new(file.to_owned(), settings.clone());
     let metrics = prometheus::PrometheusBuilder::new().install_recorder().ok();
     let clock = clock::SystemClock;
-    let started = match (settings.log, settings.store) {
+    let platform =
+        settings.store.map(|address| on_store::OnStore::new(address, &settings.services, clock));
+    let started = match (settings.log, platform.clone()) {
         (Some(address), _) => {
             let log = http_log::HttpLog::new(address);
             daemon::Daemon::start(settings, log, clock, metrics).await
         }
-        (None, Some(address)) => {
-            let platform = on_store::OnStore::new(address, &settings.services, clock);
+        (None, Some(platform)) => {
             daemon::Daemon::start_on(settings, platform, clock, metrics).await
         }
         (None, None) => return process::ExitCode::from(EXIT_USAGE),
@@ -114,10 +115,15 @@
         eprintln!("lynxmastd: cannot listen for signals");
         return process::ExitCode::from(EXIT_START);
     };
+    let apply = |services: &settings::Services| {
+        if let Some(platform) = &platform {
+            daemon.revise_services(&platform.revise(services));
+        }
+    };
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = reload.run(hang_up) => {}
+        () = reload.run(hang_up, apply) => {}
     }
     tokio::select! {
         ended = daemon.shutdown() => match ended {
--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -18,10 +18,10 @@
 use crate::settings;
 
 /// The users' platform with its store.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct OnStore<C> {
     store: store::Store,
-    defaults: configuration::Defaults,
+    defaults: configuration::SharedDefaults,
     clock: C,
 }
 
@@ -45,22 +45,36 @@
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
     pub fn new(address: net::SocketAddr, settings: &settings::Services, clock: C) -> Self {
-        let reserve = f64::from(settings.retry_reserve) * RESERVE_USED;
-        let service = service::Service {
-            slots: SLOTS_MAX,
-            queue: QUEUE,
-            max_wait: WAIT_MAX,
-            ramp: std::time::Duration::ZERO,
-            stall: STALL,
-            hedge_after: HEDGE_AFTER,
-            floor_share: settings.floor_share,
-            retry_ratio: settings.retry_ratio * BUDGET_USED,
-            retry_reserve: Some(reserve as u32),
-            ..service::Service::default()
-        };
-        let defaults = configuration::Defaults { service };
+        let defaults = configuration::Defaults { service: service_defaults(settings) };
+        let defaults = sync::Arc::new(sync::RwLock::new(defaults));
         Self { store: store::Store::new(address), defaults, clock }
     }
+
+    /// Uses other settings for the configurations that are read from now on; returns what they come
+    /// to for a service.
+    pub fn revise(&self, settings: &settings::Services) -> service::Service {
+        let service = service_defaults(settings);
+        let mut defaults = self.defaults.write().unwrap_or_else(sync::PoisonError::into_inner);
+        defaults.service = service.clone();
+        service
+    }
+}
+
+/// Returns what the settings and this page say of a service.
+fn service_defaults(settings: &settings::Services) -> service::Service {
+    let reserve = f64::from(settings.retry_reserve) * RESERVE_USED;
+    service::Service {
+        slots: SLOTS_MAX,
+        queue: QUEUE,
+        max_wait: WAIT_MAX,
+        ramp: std::time::Duration::ZERO,
+        stall: STALL,
+        hedge_after: HEDGE_AFTER,
+        floor_share: settings.floor_share,
+        retry_ratio: settings.retry_ratio * BUDGET_USED,
+        retry_reserve: Some(reserve as u32),
+        ..service::Service::default()
+    }
 }
 
 impl<C: clock::Clock> platform::Platform<C> for OnStore<C> {
--- a/crates/lynxmastd/src/reload.rs
+++ b/crates/lynxmastd/src/reload.rs
@@ -1,6 +1,7 @@
-//! Reading the settings again on a signal, without touching requests.
+//! Reading the settings again, on a signal and when the file changes, without touching requests.
 
 use std::path;
+use std::time;
 
 use tokio::signal::unix;
 
@@ -10,6 +11,8 @@
 #[derive(Debug)]
 pub struct Reload {
     file: path::PathBuf,
+    /// Text that was last read, good or bad.
+    text: Option<String>,
     current: settings::Settings,
 }
 
@@ -18,43 +21,72 @@
 pub enum Reloaded {
     /// The settings are the ones in force.
     Unchanged,
-    /// The settings are good and differ; they are in force from the next start.
+    /// Only settings of services differ; they are in force.
+    InForce,
+    /// Others differ too; those are in force from the next start.
     AtNextStart,
     /// The settings are bad; the ones in force stay.
     Refused,
 }
 
+/// Time between looks at the file, which may change without a signal.
+const LOOK_EVERY: time::Duration = time::Duration::from_secs(5);
+
 impl Reload {
     /// Returns a reload for the settings read from `file`.
     pub fn new(file: path::PathBuf, current: settings::Settings) -> Self {
-        Self { file, current }
+        let text = std::fs::read_to_string(&file).ok();
+        Self { file, text, current }
     }
 
-    /// Reads the settings at each signal.
-    pub async fn run(mut self, mut hang_up: unix::Signal) {
-        while hang_up.recv().await.is_some() {
-            self.read();
+    /// Reads the settings at each signal and when the file has changed; `apply` gets new settings
+    /// of services.
+    pub async fn run(mut self, mut hang_up: unix::Signal, apply: impl Fn(&settings::Services)) {
+        loop {
+            let is_asked = tokio::select! {
+                signal = hang_up.recv() => signal.is_some(),
+                () = tokio::time::sleep(LOOK_EVERY) => false,
+            };
+            if is_asked || self.has_changed() {
+                self.read(&apply);
+            }
         }
-        // Without further signals there is nothing left to wait for.
-        std::future::pending::<()>().await;
+    }
+
+    /// Tells whether the file's text is another than the one last read. A file that cannot be read
+    /// at the moment, as it is being replaced, has not changed.
+    fn has_changed(&self) -> bool {
+        let text = std::fs::read_to_string(&self.file).ok();
+        text.is_some() && text != self.text
     }
 
     /// Reads and checks the settings once and says in a line what became of them.
-    pub fn read(&mut self) -> Reloaded {
-        let reloaded = match settings::Settings::load(&self.file) {
-            Ok(read) if read == self.current => Reloaded::Unchanged,
-            Ok(read) => {
-                self.current = read;
-                Reloaded::AtNextStart
-            }
+    pub fn read(&mut self, apply: impl Fn(&settings::Services)) -> Reloaded {
+        self.text = std::fs::read_to_string(&self.file).ok();
+        let read = match settings::Settings::load(&self.file) {
+            Ok(read) => read,
             Err(error) => {
                 log::error!(event = "reload", reason:% = error; "settings refused");
                 return Reloaded::Refused;
             }
         };
+        let reloaded = self.compare(&read);
+        if read.services != self.current.services {
+            apply(&read.services);
+        }
+        self.current = read;
         log::info!(event = "reload", result:? = reloaded; "settings read");
         reloaded
     }
+
+    fn compare(&self, read: &settings::Settings) -> Reloaded {
+        if *read == self.current {
+            return Reloaded::Unchanged;
+        }
+        let services = self.current.services.clone();
+        let without_services = settings::Settings { services, ..read.clone() };
+        if without_services == self.current { Reloaded::InForce } else { Reloaded::AtNextStart }
+    }
 }
 
 #[cfg(test)]
--- a/crates/lynxmastd/src/settings.rs
+++ b/crates/lynxmastd/src/settings.rs
@@ -84,6 +84,8 @@
         pub beside: net::SocketAddr,
         /// For operators.
         pub admin: net::SocketAddr,
+        /// For operators too, at an address that can be the same on all VMs; metrics are read there.
+        pub metrics: Option<net::SocketAddr>,
     }
 
     /// Limits of a daemon.
@@ -130,7 +132,7 @@
 impl Default for Listen {
     fn default() -> Self {
         let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        Self { entry: any, gate: any, control: any, beside: any, admin: any }
+        Self { entry: any, gate: any, control: any, beside: any, admin: any, metrics: None }
     }
 }
 
@@ -266,14 +268,15 @@
 }
 
 impl Listen {
-    fn named(&self) -> [(&'static str, net::SocketAddr); 5] {
-        [
+    fn named(&self) -> Vec<(&'static str, net::SocketAddr)> {
+        let needed = [
             ("entry", self.entry),
             ("gate", self.gate),
             ("control", self.control),
             ("beside", self.beside),
             ("admin", self.admin),
-        ]
+        ];
+        needed.into_iter().chain(self.metrics.map(|address| ("metrics", address))).collect()
     }
 
     /// Returns keys whose address another key has taken, or that cannot be told to peers.
--- a/crates/state/src/clock.rs
+++ b/crates/state/src/clock.rs
@@ -3,12 +3,16 @@
 use std::sync::atomic;
 use std::time;
 
+use nix::time as clocks;
+
 /// Source of monotonic and wall-clock time.
 pub trait Clock: Clone + Send + Sync + 'static {
     /// Monotonic time, for timeouts and measurements.
     fn now(&self) -> time::Instant;
     /// Wall-clock time, for time lines that people read.
     fn wall(&self) -> time::SystemTime;
+    /// Time that the VM has been suspended since it started; monotonic time leaves it out.
+    fn suspended(&self) -> time::Duration;
 }
 
 /// The clock of the operating system.
@@ -23,6 +27,16 @@
     fn wall(&self) -> time::SystemTime {
         time::SystemTime::now()
     }
+
+    /// A system without a clock that counts suspensions never reports one.
+    fn suspended(&self) -> time::Duration {
+        let read = |id| clocks::clock_gettime(id).map(time::Duration::from);
+        let (all, running) = (clocks::ClockId::CLOCK_BOOTTIME, clocks::ClockId::CLOCK_MONOTONIC);
+        match (read(all), read(running)) {
+            (Ok(all), Ok(running)) => all.saturating_sub(running),
+            _ => time::Duration::ZERO,
+        }
+    }
 }
 
 /// A clock that moves only when told to.
@@ -42,12 +56,14 @@
 pub struct ManualClock {
     start: time::Instant,
     elapsed_us: std::sync::Arc<atomic::AtomicU64>,
+    suspended_us: std::sync::Arc<atomic::AtomicU64>,
 }
 
 impl ManualClock {
     /// Returns a clock that stands still at the moment of the call.
     pub fn new() -> Self {
-        Self { start: time::Instant::now(), elapsed_us: Default::default() }
+        let start = time::Instant::now();
+        Self { start, elapsed_us: Default::default(), suspended_us: Default::default() }
     }
 
     /// Moves the clock forward by `step`, at microsecond resolution.
@@ -56,6 +72,12 @@
         self.elapsed_us.fetch_add(step_us, atomic::Ordering::SeqCst);
     }
 
+    /// Suspends the VM for `step`, which monotonic time does not see.
+    pub fn suspend(&self, step: time::Duration) {
+        let step_us = u64::try_from(step.as_micros()).unwrap_or(u64::MAX);
+        self.suspended_us.fetch_add(step_us, atomic::Ordering::SeqCst);
+    }
+
     fn elapsed(&self) -> time::Duration {
         time::Duration::from_micros(self.elapsed_us.load(atomic::Ordering::SeqCst))
     }
@@ -73,6 +95,10 @@
     }
 
     fn wall(&self) -> time::SystemTime {
-        time::SystemTime::UNIX_EPOCH + self.elapsed()
+        time::SystemTime::UNIX_EPOCH + self.elapsed() + self.suspended()
+    }
+
+    fn suspended(&self) -> time::Duration {
+        time::Duration::from_micros(self.suspended_us.load(atomic::Ordering::SeqCst))
     }
 }
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -65,6 +65,11 @@
             /// The upstream or gate.
             peer: String,
         },
+        /// The VM was suspended and runs again.
+        Resumed {
+            /// Milliseconds that it was suspended.
+            suspended_ms: u64,
+        },
     }
 
     /// An event with its place on the time line.
@@ -80,6 +85,48 @@
     }
 }
 
+impl Kind {
+    /// Returns the name under which log lines carry the event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::event;
+    /// assert_eq!(event::Kind::PolicyInForce { version: 3 }.word(), "policy-in-force");
+    /// ```
+    pub fn word(&self) -> &'static str {
+        match self {
+            Kind::Started => "started",
+            Kind::ShutdownStarted => "stopping",
+            Kind::Stopped => "stopped",
+            Kind::PolicyInForce { .. } => "policy-in-force",
+            Kind::LogLost => "store-lost",
+            Kind::LogBack => "store-back",
+            Kind::DaemonJoined { .. } => "daemon-joined",
+            Kind::DaemonLeaving { .. } => "daemon-leaving",
+            Kind::DaemonGone { .. } => "daemon-gone",
+            Kind::UpstreamServing { .. } => "upstream-serving",
+            Kind::UpstreamDraining { .. } => "upstream-draining",
+            Kind::UpstreamGone { .. } => "upstream-gone",
+            Kind::UpstreamAvoided { .. } => "upstream-avoided",
+            Kind::ConnectionReplaced { .. } => "connection-replaced",
+            Kind::Resumed { .. } => "resumed",
+        }
+    }
+
+    /// Returns the level of the event's log line; `None` where a line with more fields is written
+    /// at the place where it happens.
+    pub fn level(&self) -> Option<log::Level> {
+        match self {
+            Kind::Started | Kind::ShutdownStarted | Kind::Stopped => None,
+            Kind::LogLost | Kind::LogBack | Kind::UpstreamAvoided { .. } => None,
+            // They come in numbers when a fleet starts.
+            Kind::DaemonJoined { .. } | Kind::UpstreamServing { .. } => Some(log::Level::Debug),
+            _ => Some(log::Level::Info),
+        }
+    }
+}
+
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -97,6 +144,7 @@
             Kind::UpstreamGone { upstream } => write!(f, "upstream {upstream} is gone"),
             Kind::UpstreamAvoided { upstream } => write!(f, "upstream {upstream} is avoided"),
             Kind::ConnectionReplaced { peer } => write!(f, "silent connection to {peer} replaced"),
+            Kind::Resumed { suspended_ms } => write!(f, "VM was suspended for {suspended_ms} ms"),
         }
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 pub mod retry;
 pub mod router;
+pub mod suspension;
 pub mod tables;
 pub mod token_bucket;
 pub mod urgency;
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -16,6 +16,7 @@
 use crate::latency;
 use crate::member;
 use crate::members;
+use crate::policy::document;
 use crate::policy::reducer;
 use crate::policy::view;
 use crate::retry;
@@ -27,6 +28,8 @@
 pub struct Tables<C> {
     /// Source of time.
     pub clock: C,
+    /// Name of the daemon, for its log lines.
+    daemon: ids::DaemonName,
     policy: sync::RwLock<Policy>,
     members: sync::Mutex<members::Members>,
     router: sync::Mutex<router::Router>,
@@ -55,6 +58,7 @@
         let ring = event::Ring::new(own.daemon.clone(), EVENTS_MAX);
         Self {
             clock,
+            daemon: own.daemon.clone(),
             policy: Default::default(),
             members: sync::Mutex::new(members::Members::new(own)),
             router: sync::Mutex::new(router),
@@ -87,6 +91,15 @@
         f(&read(&self.policy).reducer)
     }
 
+    /// Changes the document in force without a new version, after settings that it was completed
+    /// from have changed.
+    pub fn revise_policy(&self, change: impl FnOnce(&mut document::Document)) {
+        let mut policy = write(&self.policy);
+        change(&mut policy.reducer.document);
+        let view = view::View::compile(policy.reducer.version, &policy.reducer.document);
+        policy.view = sync::Arc::new(view);
+    }
+
     /// Changes the reducer and puts a new version into force if that made one.
     ///
     /// A change that would lower the version or the next offset is discarded.
@@ -143,8 +156,11 @@
         f(traffic.entry(service.clone()).or_default())
     }
 
-    /// Adds an event to the time line.
+    /// Adds an event to the time line and writes its line to the log.
     pub fn event(&self, what: event::Kind) {
+        if let Some(level) = what.level() {
+            log::log!(level, event = what.word(), daemon = &*self.daemon; "{what}");
+        }
         lock(&self.events).push(what, self.clock.wall());
     }
 
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -312,6 +312,15 @@
         self.leaving.load(atomic::Ordering::Acquire) || self.is_closing()
     }
 
+    /// Gives up what a suspension of the VM has made doubtful: idle connections, which backend
+    /// servers may have closed meanwhile, and the policy, which may be behind.
+    pub fn resume(&self) {
+        for upstream in self.upstreams() {
+            upstream.pool.clear();
+        }
+        self.catch_up.notify_one();
+    }
+
     /// Stops new work on all upstreams.
     pub fn close(&self) {
         self.closing.store(true, atomic::Ordering::Release);
