Slow failing probes down, and probe only with retries to spare

A failing upstream was probed every 0.6 s; each probe costs a retry. Change: the pause between failing probes grows by half, up to 2 s; an entry probes only while its budget holds a retry besides the one that the probe is likely to need.

--- a/crates/state/src/doubt.rs
+++ b/crates/state/src/doubt.rs
@@ -68,6 +68,8 @@
     at: time::Instant,
     /// Time from which another request may probe.
     next_probe: time::Instant,
+    /// Pause after the next probe, unless it succeeds.
+    pause: time::Duration,
 }
 
 /// Share of the upstreams taken to be failing while nothing is known of them.
@@ -83,6 +85,11 @@
 /// Time between probes of a doubted upstream while they fail. Failures last for seconds, so that
 /// several probes fall into each.
 const PROBE_EVERY: time::Duration = time::Duration::from_millis(600);
+/// Factor by which the pause grows with each probe that does not succeed: a failing upstream mostly
+/// fails for seconds, and each failed probe costs the request a retry.
+const PROBE_SLOWDOWN: f64 = 1.5;
+/// Longest pause between probes; bounds how late a recovered upstream is noticed.
+const PROBE_PAUSE_MAX: time::Duration = time::Duration::from_secs(2);
 /// Likelihood from which even a request that found no other upstream is not run.
 const HOPELESS: f64 = 0.7;
 /// Age at which half of a belief has given way to the prior.
@@ -91,7 +98,7 @@
 impl Doubt {
     /// Returns the belief about an upstream of which nothing is known.
     pub fn new(now: time::Instant) -> Self {
-        Self { likelihood: PRIOR, at: now, next_probe: now }
+        Self { likelihood: PRIOR, at: now, next_probe: now, pause: PROBE_EVERY }
     }
 
     /// Tells whether a request may run at the upstream. Probes are paced; a success lets the next
@@ -105,7 +112,8 @@
             Risk::Probe => {
                 let is_due = now >= self.next_probe;
                 if is_due {
-                    self.next_probe = now + PROBE_EVERY;
+                    self.next_probe = now + self.pause;
+                    self.pause = self.pause.mul_f64(PROBE_SLOWDOWN).min(PROBE_PAUSE_MAX);
                 }
                 is_due
             }
@@ -114,7 +122,7 @@
 
     /// Returns a belief that was heard from a gate.
     pub fn heard(likelihood: f64, now: time::Instant) -> Self {
-        Self { likelihood: likelihood.clamp(0.0, 1.0), at: now, next_probe: now }
+        Self { likelihood: likelihood.clamp(0.0, 1.0), ..Self::new(now) }
     }
 
     /// Takes the result of one request into account.
@@ -130,6 +138,7 @@
         self.likelihood = after.min(LIKELIHOOD_MAX);
         if worked {
             self.next_probe = now;
+            self.pause = PROBE_EVERY;
         }
         self.at = self.at.max(now);
     }
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -117,6 +117,8 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
+    /// Tokens that can be saved up at the moment.
+    most: f64,
     /// First attempts lately.
     firsts: latency::Average,
 }
@@ -140,12 +142,18 @@
 const RESERVE: f64 = 10.0;
 /// Retries that can be saved up.
 const SAVED_MAX: f64 = 50.0;
+/// Retries left from which a request may be sent where it may well fail: its own and the next one's.
+const SPARE: f64 = 2.0;
 /// Share of a first attempt by which the reserve refills where the ratio is lower.
 const REFILL_MIN: f64 = 0.01;
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: RESERVE, firsts: latency::Average::new(SAVED_FOR.mul_f64(LN_2)) }
+        Self {
+            tokens: RESERVE,
+            most: SAVED_MAX,
+            firsts: latency::Average::new(SAVED_FOR.mul_f64(LN_2)),
+        }
     }
 }
 
@@ -168,7 +176,14 @@
         }
         self.firsts.record(1.0, now);
         let most = reserve + shared.ratio * self.firsts.weight(now);
-        self.tokens = (self.tokens + shared.ratio - repeats).min(most.max(1.0));
+        self.most = most.max(1.0);
+        self.tokens = (self.tokens + shared.ratio - repeats).min(self.most);
+    }
+
+    /// Tells whether there is a retry left besides one that is likely to be needed: then a request
+    /// may be sent where it may well fail.
+    pub fn can_spare(&self) -> bool {
+        self.tokens >= SPARE.min(self.most)
     }
 
     /// Takes one retry if the budget allows it.
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -84,12 +84,13 @@
         self.idempotent && progress.attempts + 1 < self.decision.route.attempts
     }
 
-    /// How doubted the next upstream may be.
-    fn risk(&self, progress: &Progress) -> doubt::Risk {
+    /// How doubted the next upstream may be; `may_probe` tells whether the retry that a probe is
+    /// likely to need can be paid for.
+    fn risk(&self, progress: &Progress, may_probe: bool) -> doubt::Risk {
         match progress.insists {
             true if self.idempotent => doubt::Risk::Any,
             true => doubt::Risk::Accept,
-            false if self.is_expendable(progress) => doubt::Risk::Probe,
+            false if may_probe && self.is_expendable(progress) => doubt::Risk::Probe,
             false => doubt::Risk::Avoid,
         }
     }
@@ -437,7 +438,8 @@
         first: Outstanding<C>,
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
-        let nature = Nature { repeat: progress.attempts > 0, risk: job.risk(progress) };
+        let risk = job.risk(progress, self.may_probe(job));
+        let nature = Nature { repeat: progress.attempts > 0, risk };
         let mut running = std::pin::pin!(self.try_upstream(job, first, nature));
         let Some(patience) = self.hedge_after(job) else { return running.await };
         if let Ok(done) = tokio::time::timeout(patience, &mut running).await {
@@ -463,7 +465,7 @@
             service: &job.decision.service.name,
             floor: job.decision.service.floor,
             floor_share: job.decision.service.floor_share,
-            repeatable: job.is_expendable(progress),
+            repeatable: job.is_expendable(progress) && self.may_probe(job),
             tried: &tried,
             now: self.tables.now(),
         };
@@ -482,6 +484,11 @@
         Ok(Outstanding::new(self.tables.clone(), candidate))
     }
 
+    fn may_probe(&self, job: &Job) -> bool {
+        let service = &job.decision.service.name;
+        self.tables.with_traffic(service, |traffic| traffic.budget.can_spare())
+    }
+
     fn hedge_after(&self, job: &Job) -> Option<time::Duration> {
         let service = &job.decision.service;
         let may = service.hedge && retry::may_run_again(None, job.idempotent);
