Estimate waits from what more urgent requests leave; late requests give up early

The wait was estimated from the queue alone, while urgent requests kept overtaking. Change: state::precedence counts the grants by urgency; the wait to expect is divided by the share of the slots that more urgent ones leave (Little's law), and a late request waits twice that at most. Tests: urgency::tests, offers behind a burst of urgent requests.

--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::latency;
 use crate::load;
 use crate::outcome;
+use crate::precedence;
 use crate::urgency;
 
 /// Limits of one upstream, from policy and announcement.
@@ -112,6 +113,8 @@
     excess: u32,
     /// Grants to the others lately.
     fair_grants: latency::Average,
+    /// Grants lately, by urgency.
+    grants: precedence::Grants,
 }
 
 #[derive(Debug)]
@@ -126,6 +129,10 @@
 const FAIR_HALF_LIFE: time::Duration = time::Duration::from_secs(1);
 /// Requests for each slot that may wait though they are late for their objective.
 const LATE_PER_SLOT: u32 = 2;
+/// Multiple of the wait to expect after which a late request gives up: the estimate was wrong then.
+const LATE_PATIENCE: u32 = 2;
+/// Least part of the slots that more urgent requests are taken to leave; keeps the estimate finite.
+const ROOM_MIN: f64 = 0.02;
 const SERVICE_TIME_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
 
 impl<T> Admission<T> {
@@ -142,6 +149,7 @@
             earned: now,
             excess: 0,
             fair_grants: latency::Average::new(FAIR_HALF_LIFE),
+            grants: precedence::Grants::default(),
         }
     }
 
@@ -191,17 +199,13 @@
         let class = self.class_of(Some(&arrival.organisation), now);
         if self.queue.is_empty() && self.has_slot(class, now) {
             self.queue.charge(&arrival.organisation, arrival.weight, now);
-            self.grant(class, now);
+            self.grant(class, &arrival.urgency, now);
             return Offer::Run(item, class);
         }
-        let allowed = self.limits.max_wait.min(arrival.deadline - now);
-        if !self.is_worth_waiting(arrival, allowed, now) {
-            return Offer::Refuse(item, outcome::Refusal::WaitTooLong);
+        match self.wait_end(arrival, now) {
+            Some(until) => self.enqueue(arrival, item, now, until),
+            None => Offer::Refuse(item, outcome::Refusal::WaitTooLong),
         }
-        let until = now + allowed;
-        let mean = self.service_time().unwrap_or_default();
-        let until = arrival.urgency.latest_start(mean, now).map_or(until, |at| until.min(at));
-        self.enqueue(arrival, item, now, until)
     }
 
     fn enqueue(
@@ -251,7 +255,7 @@
                 steps.push(Step::Refuse(waiting.item, outcome::Refusal::WaitTooLong));
                 continue;
             }
-            self.grant(class, now);
+            self.grant(class, &waiting.urgency, now);
             steps.push(Step::Run(waiting.item, class));
         }
         steps
@@ -287,8 +291,10 @@
         (rate * self.service_time.value().unwrap_or(0.0)).ceil() as u32
     }
 
-    fn grant(&mut self, class: Class, now: time::Instant) {
+    fn grant(&mut self, class: Class, urgency: &urgency::Urgency, now: time::Instant) {
         self.in_use += 1;
+        let mean = self.service_time().unwrap_or_default();
+        self.grants.record(urgency.order(mean, now), now);
         match class {
             Class::Fair => self.fair_grants.record(1.0, now),
             Class::Excess => self.excess += 1,
@@ -315,29 +321,44 @@
         }
     }
 
-    /// Tells whether a request can expect a slot within `allowed`. One that is late for its
-    /// objective waits behind those that are not, so few of them are kept.
-    fn is_worth_waiting(
-        &self,
-        arrival: &Arrival,
-        allowed: time::Duration,
-        now: time::Instant,
-    ) -> bool {
-        let Some(mean) = self.service_time() else { return true };
-        let own = arrival.urgency.order(mean, now);
-        let is_before = |waiting: &Waiting<T>| waiting.urgency.order(mean, now) <= own;
-        let ahead = self.queue.ahead_of(&arrival.organisation, arrival.weight, is_before) + 1;
-        let wait = mean.mul_f64(ahead as f64 / f64::from(self.open_slots(now)));
+    /// Returns until when a request is to wait for a slot; `None` if it cannot expect one in time.
+    fn wait_end(&self, arrival: &Arrival, now: time::Instant) -> Option<time::Instant> {
+        let allowed = self.limits.max_wait.min(arrival.deadline - now);
+        let Some(mean) = self.service_time() else { return Some(now + allowed) };
+        let wait = self.expected_wait(arrival, mean, now);
         if wait > allowed {
-            return false;
+            return None;
         }
         let end = now + wait + mean;
-        if arrival.urgency.is_met_by(end) {
-            return true;
+        if let Some(latest) = arrival.urgency.latest_start(mean, now)
+            && arrival.urgency.is_met_by(end)
+        {
+            return Some(latest.min(now + allowed));
         }
+        if arrival.urgency.objective.is_none() {
+            return Some(now + allowed);
+        }
+        // A late one waits behind those that are not, so few of them are kept, and not for long.
         let is_late = |waiting: &Waiting<T>| !waiting.urgency.is_met_by(now + mean);
         let late_max = (LATE_PER_SLOT * self.open_slots(now)) as usize;
-        end <= arrival.deadline && self.queue.count(is_late) < late_max
+        let is_worth_it = end <= arrival.deadline && self.queue.count(is_late) < late_max;
+        is_worth_it.then(|| now + (wait * LATE_PATIENCE).min(allowed))
+    }
+
+    /// Returns the wait to expect, from the requests ahead and from the slots that more urgent
+    /// ones leave.
+    fn expected_wait(
+        &self,
+        arrival: &Arrival,
+        mean: time::Duration,
+        now: time::Instant,
+    ) -> time::Duration {
+        let own = arrival.urgency.order(mean, now);
+        let is_before = |waiting: &Waiting<T>| waiting.urgency.order(mean, now) <= own;
+        let ahead = self.queue.ahead_of(&arrival.organisation, arrival.weight, is_before) + 1;
+        let slots = self.open_slots(now);
+        let room = self.grants.room(own, mean, slots, now).max(ROOM_MIN);
+        mean.mul_f64(ahead as f64 / (f64::from(slots) * room))
     }
 }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod members;
 pub mod outcome;
 pub mod policy;
+pub mod precedence;
 pub mod retry;
 pub mod router;
 pub mod suspension;
--- a/crates/state/src/urgency/tests.rs
+++ b/crates/state/src/urgency/tests.rs
@@ -91,3 +91,53 @@
     let capacity = f64::from(SLOTS) / MEAN.as_secs_f64();
     assert_eq!(in_time(0.9 * capacity, limits()), [1.0, 1.0]);
 }
+
+/// Offers urgent requests at `share` of the capacity for five seconds, then one of a lower rank
+/// that is `late` for its objective or not; returns what it is told, and when.
+fn offer_behind(
+    share: f64,
+    late: bool,
+) -> (admission::Offer<(usize, time::Instant)>, time::Instant) {
+    let start = time::Instant::now();
+    let mut admission = admission::Admission::new(limits(), start);
+    let (mut running, mut met) = (Vec::new(), [0; 2]);
+    let rate = share * f64::from(SLOTS) / MEAN.as_secs_f64();
+    let mut now = start;
+    let mut arrival = admission::Arrival {
+        organisation: "public".into(),
+        weight: 1,
+        deadline: now,
+        urgency: Urgency::default(),
+    };
+    for number in 0..(5.0 * rate) as usize {
+        now = start + time::Duration::from_secs_f64(number as f64 / rate);
+        finish(&mut admission, &mut running, now, &mut met);
+        arrival.deadline = now + DEADLINE;
+        arrival.urgency = Urgency { rank: 0, objective: Some(now + OBJECTIVE) };
+        if let admission::Offer::Run(item, class) = admission.offer(&arrival, (0, now), now) {
+            running.push((now + MEAN, class, 0, item.1));
+        }
+    }
+    // Fills the slots, so that the last one cannot start at once.
+    while let admission::Offer::Run(..) = admission.offer(&arrival, (0, now), now) {}
+    let objective = if late { now } else { now + OBJECTIVE };
+    arrival.urgency = Urgency { rank: 1, objective: Some(objective) };
+    (admission.offer(&arrival, (1, now), now), now)
+}
+
+#[test]
+fn what_more_urgent_requests_leave_no_slot_for_is_refused_at_once() {
+    let is_refused =
+        |(offer, _)| matches!(offer, admission::Offer::Refuse(_, outcome::Refusal::WaitTooLong));
+    assert!(is_refused(offer_behind(1.5, false)));
+    assert!(is_refused(offer_behind(1.5, true)));
+    assert!(!is_refused(offer_behind(0.4, false)));
+}
+
+#[test]
+fn a_late_request_does_not_wait_until_its_deadline() {
+    let (admission::Offer::Wait { until, .. }, now) = offer_behind(0.4, true) else {
+        panic!("there is room for it");
+    };
+    assert!(until - now < OBJECTIVE, "{:?}", until - now);
+}
