--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -35,12 +35,12 @@
 const STALL: std::time::Duration = std::time::Duration::from_secs(10);
 /// Multiple of the time that 95 of 100 requests stay below, after which a request counts as hung.
 const HEDGE_AFTER: f64 = 2.0;
-/// Part of the retries that the rules allow for each request which a service earns; the rest is for
-/// what was saved up, and for calls of repeated requests beyond their mean.
-const BUDGET_USED: f64 = 0.75;
+/// Part of the retries that the rules allow which a service earns; the rest is for the calls that
+/// repeated requests of other services make again, which count against it too, and for what was saved.
+const BUDGET_USED: f64 = 0.5;
 /// Part of the retries beyond the ratio that the daemons use; the rest is for daemons that start, who
-/// do not know what was spent before.
-const RESERVE_USED: f64 = 0.6;
+/// do not know what was spent before, and for calls.
+const RESERVE_USED: f64 = 0.5;
 
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -8,7 +8,6 @@
 use http::header::HeaderMap;
 use http::header::HeaderName;
 use http::header::HeaderValue;
-use lynxmast_state::calls;
 use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::load;
@@ -30,6 +29,8 @@
     pub policy: ids::PolicyVersion,
     /// Whether the gate may send the request a second time, on a new connection.
     pub idempotent: bool,
+    /// Whether a backend server has been asked before for the same request.
+    pub repeat: bool,
     /// How doubted the upstream may be.
     pub risk: doubt::Risk,
     /// Rank of the route; 0 is the most urgent.
@@ -65,6 +66,7 @@
     ///     left: Duration::from_millis(250),
     ///     policy: 7,
     ///     idempotent: false,
+    ///     repeat: false,
     ///     risk: Default::default(),
     ///     rank: 0,
     ///     objective: None,
@@ -80,6 +82,9 @@
         put(headers, header::LEFT_US, &self.left.as_micros().to_string());
         put(headers, header::POLICY, &self.policy.to_string());
         put(headers, header::IDEMPOTENT, &self.idempotent.to_string());
+        if self.repeat {
+            put(headers, header::REPEAT, "true");
+        }
         if self.risk != doubt::Risk::Avoid {
             put(headers, header::RISK, self.risk.word());
         }
@@ -91,12 +96,6 @@
         }
     }
 
-    /// Tells whether the request may be run more than once, as far as its risk says: one that may
-    /// not, or not any more, avoids upstreams that are doubted.
-    pub fn is_repeatable(&self) -> bool {
-        matches!(self.risk, doubt::Risk::Probe | doubt::Risk::Any)
-    }
-
     /// Reads an envelope from a request's headers.
     ///
     /// # Errors
@@ -112,6 +111,7 @@
             left: time::Duration::from_micros(get(headers, header::LEFT_US)?),
             policy: get(headers, header::POLICY)?,
             idempotent: get(headers, header::IDEMPOTENT)?,
+            repeat: headers.contains_key(header::REPEAT),
             risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
             objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
@@ -120,7 +120,7 @@
 }
 
 /// Verdict on an attempt as the gate tells it, next to the answer itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Verdict {
     /// Why there is no answer; `None` for an answer.
     pub ended: Option<retry::Ended>,
@@ -130,8 +130,6 @@
     pub took: Option<time::Duration>,
     /// How likely the gate takes its upstream to be failing, in percent.
     pub doubt: Option<u8>,
-    /// Calls that one run at the upstream makes, if enough runs are known.
-    pub calls: Option<calls::PerRun>,
     /// Policy version in force at the gate.
     pub policy: ids::PolicyVersion,
 }
@@ -152,9 +150,6 @@
         if let Some(doubt) = self.doubt {
             put(headers, header::DOUBT, &doubt.to_string());
         }
-        if let Some(calls) = &self.calls {
-            put(headers, header::CALLS, &calls.to_string());
-        }
     }
 
     /// Reads a result from an answer's headers.
@@ -176,8 +171,7 @@
         };
         let took = get(headers, header::TOOK_US).ok().map(time::Duration::from_micros);
         let (load, doubt) = (single(headers, header::LOAD), single(headers, header::DOUBT));
-        let calls = single(headers, header::CALLS);
-        Ok(Self { ended, load, took, doubt, calls, policy: get(headers, header::POLICY)? })
+        Ok(Self { ended, load, took, doubt, policy: get(headers, header::POLICY)? })
     }
 }
 
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -32,6 +32,8 @@
 /// Entry to gate: `true` if the request may be run more than once.
 pub const IDEMPOTENT: &str = "lynxmast-idempotent";
 
+/// Entry to gate: present if a backend server has been asked before for the same request.
+pub const REPEAT: &str = "lynxmast-repeat";
 /// Entry to gate: how doubted the upstream may be, absent for not at all.
 pub const RISK: &str = "lynxmast-risk";
 /// Entry to gate: rank of the route, absent for the most urgent.
@@ -41,8 +43,6 @@
 
 /// Gate to entry: likelihood in percent that the upstream is failing.
 pub const DOUBT: &str = "lynxmast-doubt";
-/// Gate to entry: calls that one run makes, see `lynxmast_state::calls`.
-pub const CALLS: &str = "lynxmast-calls";
 /// Gate to entry: load of the upstream, see `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Gate to entry: microseconds from hand-over to the answer's head.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,7 +8,6 @@
 mod macros;
 
 pub mod admission;
-pub mod calls;
 pub mod checked;
 pub mod clock;
 pub mod doubt;
@@ -28,6 +27,5 @@
 pub mod suspension;
 pub mod tables;
 pub mod token_bucket;
-pub mod traffic;
 pub mod urgency;
 pub mod usage;
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -141,7 +141,7 @@
 /// Time for which retries of a shared budget can be saved up: failures come in clumps.
 pub const SAVED_FOR: time::Duration = time::Duration::from_millis(2500);
 /// Part of the reserve that is saved up for a clump of failures; the rest comes back over the window.
-const SAVED_PART: f64 = 0.5;
+const SAVED_PART: f64 = 0.6;
 /// Part of what it may save up that a daemon starts with: it does not know what its predecessor has
 /// spent.
 const START_PART: f64 = 2.0 / 3.0;
@@ -174,43 +174,23 @@
     /// Counts a first attempt under a budget that the daemons of a fleet share. What they may spend
     /// together in a window never exceeds `ratio` of the first attempts in that window and in the
     /// about [`SAVED_FOR`] before it, plus `reserve`.
-    pub fn deposit_shared(&mut self, shared: &Shared, now: time::Instant) {
-        self.refill(shared, now);
-        self.firsts.record(1.0, now);
-        self.most = self.most_of(shared, now);
-        self.tokens = (self.tokens + shared.ratio).min(self.most);
-    }
-
-    /// Lets the reserve of a shared budget come back with time.
-    pub fn refill(&mut self, shared: &Shared, now: time::Instant) {
-        let reserve = reserve_of(shared);
-        self.most = self.most_of(shared, now);
-        let Some(refilled) = self.refilled else {
-            self.tokens = reserve * SAVED_PART * START_PART;
-            self.refilled = Some(now);
-            return;
+    ///
+    /// `repeats` is the likelihood that the request was made by one that is itself repeated, which
+    /// counts as a retry.
+    pub fn deposit_shared(&mut self, shared: &Shared, repeats: f64, now: time::Instant) {
+        let reserve = f64::from(shared.reserve) / shared.daemons.max(1) as f64;
+        let saved = reserve * SAVED_PART;
+        let elapsed = self.refilled.map(|at| now.saturating_duration_since(at));
+        let refill = match elapsed {
+            None => saved * START_PART - self.tokens,
+            Some(elapsed) => {
+                (reserve - saved) * elapsed.as_secs_f64() / shared.window.as_secs_f64()
+            }
         };
-        let elapsed = now.saturating_duration_since(refilled).as_secs_f64();
-        let part = elapsed / shared.window.as_secs_f64();
-        self.tokens = (self.tokens + reserve * (1.0 - SAVED_PART) * part).min(self.most);
-        self.refilled = Some(refilled.max(now));
-    }
-
-    /// Tokens that can be saved up; at least the one that a retry takes.
-    fn most_of(&self, shared: &Shared, now: time::Instant) -> f64 {
-        let saved = reserve_of(shared) * SAVED_PART + shared.ratio * self.firsts.weight(now);
-        saved.max(1.0)
-    }
-
-    /// Tells whether the budget can pay `cost` retries. A cost above what can be saved up at all
-    /// needs a full budget and leaves it in debt.
-    pub fn covers(&self, cost: f64) -> bool {
-        self.tokens >= cost.min(self.most)
-    }
-
-    /// Takes `cost` retries.
-    pub fn charge(&mut self, cost: f64) {
-        self.tokens -= cost;
+        self.refilled = self.refilled.max(Some(now));
+        self.firsts.record(1.0, now);
+        self.most = (saved + shared.ratio * self.firsts.weight(now)).max(1.0);
+        self.tokens = (self.tokens + refill + shared.ratio - repeats).min(self.most);
     }
 
     /// Tells whether there is a retry left besides one that is likely to be needed: then a request
@@ -221,18 +201,13 @@
 
     /// Takes one retry if the budget allows it.
     pub fn withdraw(&mut self) -> bool {
-        let is_paid = self.covers(1.0);
-        if is_paid {
-            self.charge(1.0);
+        if self.tokens < 1.0 {
+            return false;
         }
-        is_paid
+        self.tokens -= 1.0;
+        true
     }
 }
 
-/// One daemon's part of the reserve.
-fn reserve_of(shared: &Shared) -> f64 {
-    f64::from(shared.reserve) / shared.daemons.max(1) as f64
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -61,7 +61,7 @@
     for round in 0..200_u32 {
         let now = start + time::Duration::from_millis(100) * round;
         for budget in &mut budgets {
-            budget.deposit_shared(&shared, now);
+            budget.deposit_shared(&shared, 0.0, now);
             if round >= 100 {
                 firsts += 1.0;
                 retries += (0..3).filter(|_| budget.withdraw()).count();
@@ -73,6 +73,21 @@
     assert!(retries >= 0.15 * firsts, "{retries} retries of {firsts}");
 }
 
+#[test]
+fn calls_of_repeated_requests_use_the_shared_budget() {
+    let shared =
+        Shared { ratio: 0.2, reserve: 1, window: time::Duration::from_secs(10), daemons: 1 };
+    let now = time::Instant::now();
+    let mut budget = Budget::default();
+    budget.deposit_shared(&shared, 0.0, now);
+    while budget.withdraw() {}
+    let allowed = (0..100).filter(|_| {
+        budget.deposit_shared(&shared, 0.2, now);
+        budget.withdraw()
+    });
+    assert_eq!(allowed.count(), 0);
+}
+
 #[test]
 fn a_fleet_that_starts_again_stays_within_the_window() {
     // All reserves are spent, then all daemons start anew and fail everything again.
@@ -85,7 +100,7 @@
         for round in 0..50 {
             let now = start + time::Duration::from_millis(100) * (50 * half + round);
             for budget in &mut budgets {
-                budget.deposit_shared(&shared, now);
+                budget.deposit_shared(&shared, 0.0, now);
                 firsts += 1.0;
                 retries += (0..3).filter(|_| budget.withdraw()).count();
             }
@@ -93,3 +108,18 @@
     }
     assert!(retries as f64 <= 0.2 * firsts + 60.0, "{retries} retries of {firsts}");
 }
+
+#[test]
+fn the_reserve_comes_back_over_the_window() {
+    // A trickle of requests, all of which fail: the ratio alone would pay for one in five.
+    let window = time::Duration::from_secs(10);
+    let shared = Shared { ratio: 0.2, reserve: 10, window, daemons: 1 };
+    let start = time::Instant::now();
+    let mut budget = Budget::default();
+    let retries = (0..40_u32).filter(|second| {
+        budget.deposit_shared(&shared, 0.0, start + time::Duration::from_secs(1) * *second);
+        budget.withdraw()
+    });
+    let retries = retries.count();
+    assert!((20..=28).contains(&retries), "{retries} of 40");
+}
--- a/crates/state/src/tables.rs
+++ b/crates/state/src/tables.rs
@@ -8,16 +8,19 @@
 use std::sync::atomic;
 use std::time;
 
+use indexmap::IndexMap;
+
 use crate::clock;
 use crate::event;
 use crate::ids;
+use crate::latency;
 use crate::member;
 use crate::members;
 use crate::policy::document;
 use crate::policy::reducer;
 use crate::policy::view;
+use crate::retry;
 use crate::router;
-use crate::traffic;
 use crate::usage;
 
 /// Shared tables of one daemon.
@@ -32,7 +35,7 @@
     router: sync::Mutex<router::Router>,
     usage: sync::Mutex<usage::Entry>,
     keeper: sync::Mutex<usage::Keeper>,
-    traffic: sync::Mutex<traffic::Table>,
+    traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router knows.
     synced: atomic::AtomicU64,
@@ -144,14 +147,13 @@
     pub fn with_traffic<R>(
         &self,
         service: &ids::ServiceName,
-        f: impl FnOnce(&mut traffic::Traffic) -> R,
+        f: impl FnOnce(&mut Traffic) -> R,
     ) -> R {
-        f(lock(&self.traffic).of(service))
-    }
-
-    /// Locks what this entry knows of the traffic of all services.
-    pub fn traffic(&self) -> sync::MutexGuard<'_, traffic::Table> {
-        lock(&self.traffic)
+        let mut traffic = lock(&self.traffic);
+        if let Some(known) = traffic.get_mut(service) {
+            return f(known);
+        }
+        f(traffic.entry(service.clone()).or_default())
     }
 
     /// Adds an event to the time line and writes its line to the log.
@@ -187,6 +189,24 @@
     }
 }
 
+/// What one entry knows of a service's traffic.
+#[derive(Debug)]
+pub struct Traffic {
+    /// Retries and hedges allowed.
+    pub budget: retry::Budget,
+    /// Time to an answer's head that 95 of 100 requests stay below, in seconds.
+    pub usual: latency::Quantile,
+}
+
+const USUAL_QUANTILE: f64 = 0.95;
+
+impl Default for Traffic {
+    fn default() -> Self {
+        let usual = latency::Quantile::new(USUAL_QUANTILE);
+        Self { budget: retry::Budget::default(), usual }
+    }
+}
+
 value! {
     /// Part of one daemon's time line.
     pub struct Timeline {
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -16,6 +16,7 @@
 use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
+use lynxmast_state::policy::service;
 use lynxmast_state::policy::view;
 use lynxmast_state::retry;
 use lynxmast_state::router;
@@ -59,8 +60,6 @@
     decision: view::Decision,
     policy: ids::PolicyVersion,
     idempotent: bool,
-    /// Whether the backend server beside this daemon makes the request for one that it runs.
-    is_call: bool,
     head: http::request::Parts,
     source: replay::Source,
     arrived: time::Instant,
@@ -104,6 +103,15 @@
     }
 }
 
+/// What kind of attempt one is.
+#[derive(Debug, Clone, Copy)]
+struct Nature {
+    /// Whether a backend server has been asked before.
+    repeat: bool,
+    /// How doubted the upstream may be.
+    risk: doubt::Risk,
+}
+
 /// What the attempts for one request have come to so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -229,11 +237,7 @@
         head::normalise(&mut head, &asked);
         let source = replay::Source::new(incoming, decision.service.stall);
         let policy = view.version;
-        let is_call = asked
-            .timeout
-            .is_some_and(|left| self.gate.note_call(now + left, &decision.service.name));
-        let (arrived, deadline) = (now, now + wait);
-        Ok(Job { decision, policy, idempotent, is_call, head, source, arrived, deadline })
+        Ok(Job { decision, policy, idempotent, head, source, arrived: now, deadline: now + wait })
     }
 
     fn check_rate(
@@ -254,7 +258,8 @@
         job: &Job,
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
-        self.deposit(job);
+        let service = &job.decision.service;
+        self.deposit(service);
         let mut shed = None;
         let outcome = self.attempts(job, progress, &mut shed).await;
         outcome.or_else(|ended| shed.ok_or(ended))
@@ -319,14 +324,20 @@
         );
     }
 
-    /// Counts a first attempt for the retry budget of its service. What backend servers call adds
-    /// nothing to a budget that the fleet shares.
-    fn deposit(&self, job: &Job) {
-        let service = &job.decision.service;
-        let (shared, now) = (self.bounds().shared(&service.name), self.tables.now());
+    /// Counts a first attempt for the retry budget of its service.
+    fn deposit(&self, service: &service::Service) {
+        let now = self.tables.now();
+        // Calls that a repeated request makes count as repeats too; none goes to its own service.
+        let is_own = *service.name == *self.identity.service;
+        let repeats = if is_own { 0.0 } else { self.gate.repeat_share() };
+        let shared = service.retry_reserve.map(|reserve| retry::Shared {
+            ratio: service.retry_ratio,
+            reserve,
+            window: service.retry_window,
+            daemons: self.tables.members().live(now).count(),
+        });
         self.tables.with_traffic(&service.name, |traffic| match shared {
-            Some(shared) if job.is_call => traffic.budget.refill(&shared, now),
-            Some(shared) => traffic.budget.deposit_shared(&shared, now),
+            Some(shared) => traffic.budget.deposit_shared(&shared, repeats, now),
             None => traffic.budget.deposit(service.retry_ratio),
         });
     }
@@ -414,7 +425,8 @@
         if !retry::wants_retry(&situation) {
             return false;
         }
-        let is_paid = !ended.reached_upstream() || self.withdraw(service);
+        let is_paid = !ended.reached_upstream()
+            || self.tables.with_traffic(service, |traffic| traffic.budget.withdraw());
         progress.is_over_budget = !is_paid;
         is_paid
     }
@@ -428,14 +440,15 @@
         progress: &mut Progress,
     ) -> Result<http::Response<body::AnswerBody<C>>, retry::Ended> {
         let risk = job.risk(progress, self.may_probe(job));
-        let mut running = std::pin::pin!(self.try_upstream(job, first, risk));
+        let nature = Nature { repeat: progress.attempts > 0, risk };
+        let mut running = std::pin::pin!(self.try_upstream(job, first, nature));
         let Some(patience) = self.hedge_after(job) else { return running.await };
         if let Ok(done) = tokio::time::timeout(patience, &mut running).await {
             return done;
         }
         let Some(second) = self.pick_hedge(job, progress) else { return running.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge = std::pin::pin!(self.try_upstream(job, second, risk));
+        let hedge = std::pin::pin!(self.try_upstream(job, second, nature));
         match futures::future::select(running, hedge).await {
             futures::future::Either::Left((Ok(response), _))
             | futures::future::Either::Right((Ok(response), _)) => Ok(response),
@@ -474,21 +487,7 @@
 
     fn may_probe(&self, job: &Job) -> bool {
         let service = &job.decision.service.name;
-        let (bounds, now) = (self.bounds(), self.tables.now());
-        let shared = |name: &str| bounds.shared(name);
-        self.tables.traffic().can_spare(service, &shared, now)
-    }
-
-    /// Takes one retry from the budgets that it counts against.
-    fn withdraw(&self, service: &ids::ServiceName) -> bool {
-        let (bounds, now) = (self.bounds(), self.tables.now());
-        let shared = |name: &str| bounds.shared(name);
-        self.tables.traffic().withdraw(service, &shared, now)
-    }
-
-    fn bounds(&self) -> Bounds {
-        let daemons = self.tables.members().live(self.tables.now()).count();
-        Bounds { view: self.tables.view(), daemons }
+        self.tables.with_traffic(service, |traffic| traffic.budget.can_spare())
     }
 
     fn hedge_after(&self, job: &Job) -> Option<time::Duration> {
@@ -502,7 +501,7 @@
     fn pick_hedge(&self, job: &Job, progress: &mut Progress) -> Option<Outstanding<C>> {
         let service = &job.decision.service.name;
         let possible = job.source.is_whole() && progress.attempts + 1 < job.decision.route.attempts;
-        if !possible || !self.withdraw(service) {
+        if !possible || !self.tables.with_traffic(service, |t| t.budget.withdraw()) {
             return None;
         }
         let picked = self.pick(job, progress).ok()?;
@@ -511,24 +510,6 @@
     }
 }
 
-/// The fleet's bounds on retries, as the policy and the membership have them at the moment.
-struct Bounds {
-    view: sync::Arc<view::View>,
-    daemons: usize,
-}
-
-impl Bounds {
-    fn shared(&self, service: &str) -> Option<retry::Shared> {
-        let service = self.view.service(service)?;
-        Some(retry::Shared {
-            ratio: service.retry_ratio,
-            reserve: service.retry_reserve?,
-            window: service.retry_window,
-            daemons: self.daemons,
-        })
-    }
-}
-
 /// Returns the answer of the other attempt, or the end that says the least about the request.
 fn either<T>(ended: retry::Ended, other: Result<T, retry::Ended>) -> Result<T, retry::Ended> {
     other.map_err(|second| match second {
--- a/crates/transport/src/entry/attempt.rs
+++ b/crates/transport/src/entry/attempt.rs
@@ -10,7 +10,6 @@
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
-use lynxmast_state::doubt;
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
 use lynxmast_state::router;
@@ -36,7 +35,7 @@
         &self,
         job: &entry::Job,
         mut outstanding: entry::Outstanding<C>,
-        risk: doubt::Risk,
+        nature: entry::Nature,
     ) -> Answer<C> {
         let started = self.tables.now();
         let envelope = envelope::Envelope {
@@ -45,7 +44,8 @@
             left: job.deadline.saturating_duration_since(started),
             policy: job.policy,
             idempotent: job.may_resend(),
-            risk,
+            repeat: nature.repeat,
+            risk: nature.risk,
             rank: job.decision.route.rank,
             objective: job.objective_left(started),
         };
@@ -134,9 +134,6 @@
         if let Some(doubt) = verdict.doubt {
             self.tables.router().saw_doubt(id, f64::from(doubt) / 100.0, now);
         }
-        if let Some(calls) = &verdict.calls {
-            self.tables.with_traffic(&id.service, |traffic| traffic.hear_calls(calls, now));
-        }
         if verdict.policy > self.tables.view().version {
             self.gate.catch_up.notify_one();
         }
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -16,6 +16,7 @@
 use lynxmast_protocol::envelope;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::doubt;
 use lynxmast_state::event;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
@@ -121,12 +122,10 @@
         };
         let now = now.max(self.tables.now());
         let doubt = upstream.as_ref().map(|upstream| upstream.doubt_percent(now));
-        let calls = upstream.as_ref().and_then(|upstream| upstream.calls_per_run(now));
         let load = upstream.map(|upstream| upstream.load(now));
         let ended = result.as_ref().err().copied();
         let policy = self.tables.view().version;
-        let verdict = envelope::Verdict { ended, load, took, doubt, calls, policy };
-        Attempted { result, verdict }
+        Attempted { result, verdict: envelope::Verdict { ended, load, took, doubt, policy } }
     }
 
     async fn attempt(
@@ -138,7 +137,7 @@
     ) -> Result<http::Response<exchange::GateBody<C>>, retry::Ended> {
         let now = self.tables.now();
         let deadline = now + envelope.left;
-        let (mut slot, stall) = self.admit(envelope, upstream, now, deadline).await?;
+        let (slot, stall) = self.admit(envelope, upstream, now, deadline).await?;
         let connection = upstream.pool.take().await.map_err(retry::Ended::NotRun)?;
         let started = self.tables.now();
         let left = deadline.saturating_duration_since(started);
@@ -153,7 +152,6 @@
             instance: instance.as_deref(),
         };
         let request = hand_over::prepare(request, left, &marks);
-        slot.start_run(deadline, envelope.is_repeatable());
         let no_body = *request.method() == http::Method::HEAD;
         let mut trial = doubt_trial::Trial::start(upstream);
         let handed = self.await_answer(envelope, &slot, connection, request, deadline).await;
@@ -253,6 +251,12 @@
             return Err(retry::Ended::NotRun(outcome::Refusal::Doubtful));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(retry::Ended::NotRun)?;
+        let kind = match (envelope.repeat, envelope.risk) {
+            (true, _) => upstream::Kind::Repeat,
+            (false, doubt::Risk::Probe | doubt::Risk::Any) => upstream::Kind::Repeatable,
+            (false, doubt::Risk::Avoid | doubt::Risk::Accept) => upstream::Kind::Once,
+        };
+        let slot = slot.of_kind(kind);
         Ok((slot, service.stall))
     }
 
@@ -275,10 +279,16 @@
         Err(outcome::Refusal::PolicyBehind)
     }
 
-    /// Notes a request that begins on this VM and has `deadline`; tells whether it is a call of one
-    /// that is being run here.
-    pub fn note_call(&self, deadline: time::Instant, service: &ids::ServiceName) -> bool {
-        self.read().values().any(|upstream| upstream.note_call(deadline, service))
+    /// Returns the share of the repeatable requests being run here that had been tried before: the
+    /// likelihood that a call made here counts as repeated, if it is such a request's.
+    pub fn repeat_share(&self) -> f64 {
+        let upstreams = self.read();
+        let repeats: u32 = upstreams.values().map(|upstream| upstream.repeats()).sum();
+        if repeats == 0 {
+            return 0.0;
+        }
+        let all: u32 = upstreams.values().map(|upstream| upstream.repeatable()).sum();
+        f64::from(repeats) / f64::from(all.max(repeats))
     }
 
     /// Notes that a request that began on this VM failed.
--- a/crates/transport/src/gate_server.rs
+++ b/crates/transport/src/gate_server.rs
@@ -82,8 +82,7 @@
         *response.status_mut() = status;
         let ended = Some(retry::Ended::NotRun(refusal));
         let policy = self.tables.view().version;
-        let verdict =
-            envelope::Verdict { ended, load: None, took: None, doubt: None, calls: None, policy };
+        let verdict = envelope::Verdict { ended, load: None, took: None, doubt: None, policy };
         verdict.write(response.headers_mut());
         response
     }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -6,7 +6,6 @@
 use std::time;
 
 use lynxmast_state::admission;
-use lynxmast_state::calls;
 use lynxmast_state::clock;
 use lynxmast_state::doubt;
 use lynxmast_state::ids;
@@ -30,9 +29,10 @@
     admission: sync::Mutex<admission::Admission<Option<Waker<C>>>>,
     lease: sync::Mutex<Lease>,
     doubt: sync::Mutex<doubt::Doubt>,
-    /// Requests being run, so that calls that they make are recognised.
-    runs: sync::Mutex<Vec<Run>>,
-    calls: sync::Mutex<calls::Calls>,
+    /// Requests being run that had been tried before.
+    repeats: atomic::AtomicU32,
+    /// Requests being run that may be repeated, those that have been included.
+    repeatable: atomic::AtomicU32,
     /// Requests being run that have not taken too long yet, by number, oldest first.
     trials: sync::Mutex<Trials>,
 }
@@ -70,29 +70,19 @@
     class: admission::Class,
     taken: time::Instant,
     handed_over: atomic::AtomicBool,
-    run: Option<Run>,
+    kind: Kind,
 }
 
-/// A request while it is being run.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Run {
-    /// Deadline that the backend server was told.
-    deadline: time::Instant,
-    /// Whether it may be run more than once.
-    repeatable: bool,
-}
-
-/// How much earlier than its parent's the deadline of a call may be: both are told in milliseconds.
-const CALL_EARLY: time::Duration = time::Duration::from_millis(5);
-/// How much later it may be: a busy VM reads the call some time after it was sent.
-const CALL_LATE: time::Duration = time::Duration::from_millis(15);
-
-impl Run {
-    /// Tells whether a request with `deadline` may be a call of this one: calls have the deadline
-    /// of the request that they are made for.
-    fn may_have_made(&self, deadline: time::Instant) -> bool {
-        (self.deadline - CALL_EARLY..=self.deadline + CALL_LATE).contains(&deadline)
-    }
+/// Whether a request may be, or has been, handed to a backend server more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Kind {
+    /// It must not be.
+    #[default]
+    Once,
+    /// It may be, and this is the first time.
+    Repeatable,
+    /// It has been.
+    Repeat,
 }
 
 impl<C: clock::Clock> Upstream<C> {
@@ -109,28 +99,20 @@
             admission,
             lease: sync::Mutex::new(lease),
             doubt,
-            runs: Default::default(),
-            calls: Default::default(),
+            repeats: Default::default(),
+            repeatable: Default::default(),
             trials: Default::default(),
         }
     }
 
-    /// Notes a request that begins on this VM with `deadline`. If it has the deadline of a request
-    /// that is being run, the backend server makes it for that one: it is a call.
-    pub fn note_call(&self, deadline: time::Instant, service: &ids::ServiceName) -> bool {
-        let runs = lock(&self.runs);
-        let Some(parent) = runs.iter().find(|run| run.may_have_made(deadline)) else {
-            return false;
-        };
-        if parent.repeatable {
-            lock(&self.calls).called(service, self.clock.now());
-        }
-        true
+    /// Returns the number of requests being run that had been tried before.
+    pub fn repeats(&self) -> u32 {
+        self.repeats.load(atomic::Ordering::Acquire)
     }
 
-    /// Returns the calls that one run makes, if enough are known.
-    pub fn calls_per_run(&self, now: time::Instant) -> Option<calls::PerRun> {
-        lock(&self.calls).per_run(now)
+    /// Returns the number of requests being run that may be repeated.
+    pub fn repeatable(&self) -> u32 {
+        self.repeatable.load(atomic::Ordering::Acquire)
     }
 
     /// Returns slots in use, waiting requests and open slots.
@@ -302,7 +284,13 @@
     }
 
     fn slot(self: &sync::Arc<Self>, class: admission::Class, taken: time::Instant) -> Slot<C> {
-        Slot { upstream: self.clone(), class, taken, handed_over: Default::default(), run: None }
+        Slot {
+            upstream: self.clone(),
+            class,
+            taken,
+            handed_over: Default::default(),
+            kind: Kind::Once,
+        }
     }
 }
 
@@ -312,14 +300,20 @@
         &self.upstream
     }
 
-    /// Notes that the request is about to be run until `deadline`.
-    pub fn start_run(&mut self, deadline: time::Instant, repeatable: bool) {
-        let run = Run { deadline, repeatable };
-        lock(&self.upstream.runs).push(run);
-        self.run = Some(run);
-        if repeatable {
-            lock(&self.upstream.calls).ran(self.now());
+    /// Says what kind of request the slot is taken for.
+    pub fn of_kind(mut self, kind: Kind) -> Self {
+        self.kind = kind;
+        for counter in self.counters() {
+            counter.fetch_add(1, atomic::Ordering::AcqRel);
         }
+        self
+    }
+
+    /// Counters that the request is counted in.
+    fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
+        let repeatable = (self.kind != Kind::Once).then_some(&self.upstream.repeatable);
+        let repeats = (self.kind == Kind::Repeat).then_some(&self.upstream.repeats);
+        repeatable.into_iter().chain(repeats)
     }
 
     /// Reads the clock of the gate.
@@ -335,11 +329,8 @@
 
 impl<C: clock::Clock> Drop for Slot<C> {
     fn drop(&mut self) {
-        if let Some(run) = self.run {
-            let mut runs = lock(&self.upstream.runs);
-            if let Some(place) = runs.iter().position(|other| *other == run) {
-                runs.swap_remove(place);
-            }
+        for counter in self.counters() {
+            counter.fetch_sub(1, atomic::Ordering::AcqRel);
         }
         let now = self.upstream.clock.now();
         let took = now.saturating_duration_since(self.taken);
@@ -364,6 +355,3 @@
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
-
-#[cfg(test)]
-mod tests;
