Tell the story of a request from log files; histogram of request times, sampled successes

Cause: OPERATIONS used grep, and a request that was answered well left no line at all. Change: lynxmast explain ID [FILES] and lynxmast timeline FILES, over a parser that counts the lines it passes over; values with spaces are quoted in log lines; lynxmast_request_seconds by service and outcome, summed up every 5 s; one of 201 requests answered well leaves a line with the count left out. Cost of logging: not measured yet.

--- a/crates/lynxmast/src/arguments.rs
+++ b/crates/lynxmast/src/arguments.rs
@@ -29,8 +29,10 @@
     Show(Ask),
     #[options(help = "show a daemon, its upstreams and the members it knows")]
     Status(Ask),
-    #[options(help = "show the merged time line of all reachable daemons")]
+    #[options(help = "show the merged time line of all reachable daemons, or of log files")]
     Timeline(Timeline),
+    #[options(help = "tell the story of one request from the logs of all daemons")]
+    Explain(Explain),
 }
 
 /// Options of `check`.
@@ -89,9 +91,11 @@
 pub struct Timeline {
     #[options(help = "print this help")]
     pub help: bool,
-    #[options(required, help = "administration address of any daemon", meta = "ADDRESS")]
+    #[options(free, help = "log files of daemons, read instead of asking the daemons")]
+    pub files: Vec<path::PathBuf>,
+    #[options(help = "administration address of any daemon", meta = "ADDRESS")]
     pub daemon: Option<net::SocketAddr>,
-    #[options(help = "print JSON lines")]
+    #[options(help = "print JSON lines; not for log files")]
     pub json: bool,
     #[options(
         help = "only lines that contain this text, such as a service or an address",
@@ -100,6 +104,17 @@
     pub only: Option<String>,
 }
 
+/// Options of `explain`.
+#[derive(Debug, Options)]
+pub struct Explain {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "id of the request")]
+    pub id: String,
+    #[options(free, help = "log files of daemons; standard input if none is named")]
+    pub files: Vec<path::PathBuf>,
+}
+
 /// Returns the help text with examples.
 pub fn usage() -> String {
     format!(
@@ -108,7 +123,9 @@
          lynxmast key strapline.key\n  \
          lynxmast publish strapline.toml --daemon 127.0.0.1:7104 --log 127.0.0.1:7400\n  \
          lynxmast status --daemon 127.0.0.1:7104 --json\n  \
-         lynxmast timeline --daemon 127.0.0.1:7104 --only storefront\n\n\
+         lynxmast timeline --daemon 127.0.0.1:7104 --only storefront\n  \
+         lynxmast timeline --only storefront *.log\n  \
+         lynxmast explain b4a0d02b623ab920 *.log\n\n\
          Exit codes: 0 done, 2 wrong arguments or files, 3 no answer, 4 edit rejected,\n\
          5 not confirmed in time",
         Arguments::usage(),
--- a/crates/lynxmast/src/main.rs
+++ b/crates/lynxmast/src/main.rs
@@ -2,10 +2,13 @@
 
 mod admin;
 mod arguments;
+mod explain;
 mod fail;
 mod key;
+mod log_line;
 mod policy;
 mod status;
+mod story;
 mod timeline;
 
 use std::process;
@@ -47,5 +50,6 @@
         Command::Show(options) => policy::show(&options).await,
         Command::Status(options) => status::show(&options).await,
         Command::Timeline(options) => timeline::show(&options).await,
+        Command::Explain(options) => explain::explain(&options),
     }
 }
--- a/crates/lynxmast/src/timeline.rs
+++ b/crates/lynxmast/src/timeline.rs
@@ -6,7 +6,9 @@
 
 use crate::admin;
 use crate::arguments;
+use crate::explain;
 use crate::fail;
+use crate::log_line;
 
 /// Shows the merged time line; daemons that do not answer, and events no longer kept, are named.
 ///
@@ -14,6 +16,9 @@
 ///
 /// Fails when the daemon that was named does not answer.
 pub async fn show(options: &arguments::Timeline) -> Result<(), fail::Fail> {
+    if !options.files.is_empty() {
+        return show_files(options);
+    }
     let daemon = admin::required(options.daemon, "daemon")?;
     let status: api::Status = admin::get(daemon, api::STATUS_PATH).await?;
     let mut events: Vec<event::Event> = Vec::new();
@@ -46,6 +51,20 @@
     Ok(())
 }
 
+/// Shows what log files tell of changes of state; lines on single requests are left out.
+fn show_files(options: &arguments::Timeline) -> Result<(), fail::Fail> {
+    let log = explain::read(&options.files)?;
+    let only = options.only.as_deref().unwrap_or_default();
+    let is_of_request = |line: &log_line::LogLine| !line.value("id").is_empty();
+    for line in log.lines.iter().filter(|line| !is_of_request(line)) {
+        let text = format!("{}  {}  {}", line.time, line.origin, line.text);
+        if text.contains(only) {
+            println!("{text}");
+        }
+    }
+    Ok(())
+}
+
 /// Writes the time of day in UTC with milliseconds.
 fn time_of(at_us: u64) -> String {
     let seconds = at_us / 1_000_000;
--- a/crates/lynxmastd/src/logging.rs
+++ b/crates/lynxmastd/src/logging.rs
@@ -37,6 +37,14 @@
 
 impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        write!(self.out, " {key}={value}").map_err(|_| kv::Error::msg("cannot write"))
+        let text = value.to_string();
+        // What would break up the line when it is read back is quoted.
+        let is_plain = !text.contains(|c: char| c.is_whitespace() || c == '"');
+        let written = if is_plain {
+            write!(self.out, " {key}={text}")
+        } else {
+            write!(self.out, " {key}=\"{}\"", text.replace(['"', '\n'], "'"))
+        };
+        written.map_err(|_| kv::Error::msg("cannot write"))
     }
 }
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -21,6 +21,11 @@
 /// Exit code for a shutdown that cut requests.
 const EXIT_CUT: u8 = 4;
 
+/// Time between sums over recorded times, which are kept one by one until then.
+const UPKEEP_EVERY: std::time::Duration = std::time::Duration::from_secs(5);
+/// Upper ends of the classes of request times, in seconds: finer than the objectives of routes.
+const SECONDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0];
+
 /// Command line of the daemon.
 #[derive(Debug, Options)]
 struct Arguments {
@@ -86,7 +91,19 @@
 
 async fn run(settings: settings::Settings, file: &path::Path) -> process::ExitCode {
     let reload = reload::Reload::new(file.to_owned(), settings.clone());
-    let metrics = prometheus::PrometheusBuilder::new().install_recorder().ok();
+    let metrics = prometheus::PrometheusBuilder::new()
+        .set_buckets(&SECONDS)
+        .and_then(prometheus::PrometheusBuilder::install_recorder);
+    let metrics =
+        metrics.inspect_err(|error| log::warn!(event = "metrics", reason:% = error; "")).ok();
+    if let Some(metrics) = metrics.clone() {
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(UPKEEP_EVERY).await;
+                metrics.run_upkeep();
+            }
+        });
+    }
     let clock = clock::SystemClock;
     let platform =
         settings.store.map(|address| on_store::OnStore::new(address, &settings.services, clock));
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod precedence;
 pub mod retry;
 pub mod router;
+pub mod sampling;
 pub mod suspension;
 pub mod tables;
 pub mod token_bucket;
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -20,6 +20,7 @@
 use lynxmast_state::policy::view;
 use lynxmast_state::retry;
 use lynxmast_state::router;
+use lynxmast_state::sampling;
 use lynxmast_state::tables;
 use rand::Rng;
 
@@ -41,6 +42,8 @@
     peers: peers::Peers,
     own: ids::DaemonName,
     identity: Identity,
+    /// Chooses the requests answered well that leave a line.
+    successes: sampling::Sampling,
 }
 
 /// What an entry says of itself to others.
@@ -159,6 +162,9 @@
 const PAUSE_MAX: time::Duration = time::Duration::from_millis(25);
 /// Gates asked for one request at most.
 const ASKED_MAX: u32 = 16;
+/// Requests answered well between two that leave a line: a line every few seconds at most at a busy
+/// daemon.
+const SUCCESSES_LEFT_OUT: u64 = 200;
 /// Shortest time before a hedge.
 const HEDGE_MIN: time::Duration = time::Duration::from_millis(5);
 
@@ -170,7 +176,9 @@
         identity: Identity,
     ) -> Self {
         let own = tables.members().own().daemon.clone();
-        Self { tables, gate, peers: peers::Peers::default(), own, identity }
+        let peers = peers::Peers::default();
+        let successes = sampling::Sampling::new(SUCCESSES_LEFT_OUT);
+        Self { tables, gate, peers, own, identity, successes }
     }
 
     /// Serves one caller's request; every outcome is an HTTP answer.
@@ -190,6 +198,7 @@
         let mut progress = Progress::default();
         let served = self.serve(&job, &mut progress).await;
         self.log_end(&job, &progress, &served);
+        self.measure(&job, &served);
         match served {
             Ok(mut response) => {
                 let answered = outcome::Outcome::Answered;
@@ -265,6 +274,38 @@
         outcome.or_else(|ended| shed.ok_or(ended))
     }
 
+    /// Records how long a request took, by service and outcome.
+    fn measure<B>(&self, job: &Job, served: &Result<http::Response<B>, retry::Ended>) {
+        let outcome = served.as_ref().err().map_or(outcome::Outcome::Answered, |e| e.outcome());
+        let took = self.tables.now().saturating_duration_since(job.arrived);
+        metrics::histogram!(
+            "lynxmast_request_seconds",
+            "service" => job.decision.service.name.to_string(),
+            "outcome" => outcome.word()
+        )
+        .record(took.as_secs_f64());
+    }
+
+    /// Writes a line on one of many requests that were answered well, with the number of those
+    /// left out.
+    fn log_success(&self, job: &Job, progress: &Progress, status: http::StatusCode) {
+        let Some(left_out) = self.successes.take() else { return };
+        let took = self.tables.now().saturating_duration_since(job.arrived);
+        log::info!(
+            event = "served",
+            id = job.id(&self.identity.dialect),
+            service = &*job.decision.service.name,
+            route = &*job.decision.route.path,
+            policy = job.policy,
+            status = status.as_u16(),
+            attempts = progress.attempts,
+            asked = progress.asked,
+            took_ms = took.as_millis() as u64,
+            left_out;
+            ""
+        );
+    }
+
     /// Writes one line on a request that was not answered well, with what decided it.
     fn log_end<B>(
         &self,
@@ -273,7 +314,9 @@
         served: &Result<http::Response<B>, retry::Ended>,
     ) {
         let (outcome, status) = match served {
-            Ok(response) if !response.status().is_server_error() => return,
+            Ok(response) if !response.status().is_server_error() => {
+                return self.log_success(job, progress, response.status());
+            }
             Ok(response) => (outcome::Outcome::Answered, response.status().as_u16()),
             Err(ended) => (ended.outcome(), 0),
         };
