--- a/crates/coordination/src/follower.rs
+++ b/crates/coordination/src/follower.rs
@@ -110,7 +110,7 @@
         let before = self.state.log_answers.swap(answers, atomic::Ordering::AcqRel);
         if before != answers {
             let kind = if answers { event::Kind::LogBack } else { event::Kind::LogLost };
-            log::info!("{kind}");
+            log::info!(event = kind.word(); "{kind}");
             self.tables.event(kind);
         }
     }
--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -140,13 +140,28 @@
             assert!(started.elapsed() < time::Duration::from_secs(5), "announcement refused");
             tokio::time::sleep(time::Duration::from_millis(20)).await;
         }
+        self.keep_announcing(beside);
+    }
+
+    /// Announces the backend server again and again, whether the daemon answers or not.
+    pub fn keep_announcing(&self, beside: net::SocketAddr) {
+        let announcement = announce::Announcement {
+            instance: None,
+            sequence: 0,
+            service: self.service.as_str().into(),
+            address: self.address,
+            slots: None,
+            incarnation: self.incarnation,
+        };
         let heartbeat = tokio::spawn(async move {
             loop {
-                tokio::time::sleep(time::Duration::from_millis(500)).await;
                 post(beside, announce::ANNOUNCE_PATH, &announcement).await;
+                tokio::time::sleep(time::Duration::from_millis(500)).await;
             }
         });
-        *lock(&self.heartbeat) = Some(heartbeat.abort_handle());
+        if let Some(old) = lock(&self.heartbeat).replace(heartbeat.abort_handle()) {
+            old.abort();
+        }
     }
 
     /// Announces departure and waits until nothing is in flight; `false` if that takes over `limit`.
@@ -246,6 +261,8 @@
         let _running = Running::start(self);
         let behaviour = lock(&self.behaviour).clone();
         let (head, mut incoming) = request.into_parts();
+        let tag = head.headers.get(TAG).and_then(|tag| tag.to_str().ok()).unwrap_or_default();
+        *lock(&self.tags).entry(format!("{} {tag}", head.uri.path())).or_default() += 1;
         while let Some(frame) = incoming.frame().await {
             let data = frame.ok().and_then(|frame| frame.into_data().ok());
             let size = data.map_or(0, |data| data.len() as u64);
@@ -258,8 +275,6 @@
         if rand::rng().random_bool(behaviour.silence) {
             std::future::pending::<()>().await;
         }
-        let tag = head.headers.get(TAG).and_then(|tag| tag.to_str().ok()).unwrap_or_default();
-        *lock(&self.tags).entry(format!("{} {tag}", head.uri.path())).or_default() += 1;
         let bytes = answer_for(tag, behaviour.size);
         let cut = rand::rng().random_bool(behaviour.cuts);
         let mut response =
--- a/crates/testing/src/caller.rs
+++ b/crates/testing/src/caller.rs
@@ -40,6 +40,8 @@
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Got {
+    /// Tag that the request had.
+    pub tag: String,
     /// HTTP status; 0 if the connection broke.
     pub status: u16,
     /// Outcome header.
@@ -59,10 +61,10 @@
 static TAGS: atomic::AtomicU64 = atomic::AtomicU64::new(1);
 
 impl Got {
-    fn broken(took: time::Duration) -> Self {
+    fn broken(tag: String, took: time::Duration) -> Self {
         let (outcome, reason) = (String::new(), String::new());
         let (body, is_whole, is_own) = (Bytes::new(), false, false);
-        Self { status: 0, outcome, reason, body, is_whole, is_own, took }
+        Self { tag, status: 0, outcome, reason, body, is_whole, is_own, took }
     }
 
     /// Tells whether this is a backend server's good answer, whole and the caller's own.
@@ -90,14 +92,14 @@
         if sender.as_mut().is_none_or(|sender| sender.is_closed()) {
             *sender = connect(self.entry).await;
         }
-        let Some(open) = sender.as_mut() else { return Got::broken(started.elapsed()) };
+        let Some(open) = sender.as_mut() else { return Got::broken(tag, started.elapsed()) };
         let sent = async {
             open.ready().await?;
             open.send_request(request(ask, &tag)).await
         };
         let Ok(response) = sent.await else {
             *sender = None;
-            return Got::broken(started.elapsed());
+            return Got::broken(tag, started.elapsed());
         };
         let (head, incoming) = response.into_parts();
         let (body, is_whole) = read(incoming).await;
@@ -107,6 +109,7 @@
         let text = |name| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
         let is_own = body == backend::answer_for(&tag, body.len());
         Got {
+            tag,
             status: head.status.as_u16(),
             outcome: text(header::OUTCOME).to_owned(),
             reason: text(header::REASON).to_owned(),
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -234,6 +234,17 @@
     append(log, &format!("edit-{}", rand::random::<u64>()), text, base).await;
 }
 
+/// Appends a new edit of a section to a log that may not take it, or not say so.
+pub async fn try_publish(log: &log_stand_in::LogStandIn, text: &str, base: u64) {
+    let Ok(table) = text.parse::<toml::Table>() else { return };
+    let team = table.get("team").and_then(toml::Value::as_str).unwrap_or_default().into();
+    let id = format!("edit-{}", rand::random::<u64>());
+    let edit = edit::Edit { id, team, base, text: text.to_owned(), signature: String::new() };
+    let record = Bytes::from(rmp_serde::to_vec(&edit).unwrap_or_default());
+    // What became of it shows in the versions of the daemons.
+    let _ = http_log::HttpLog::new(log.address).append(api::POLICY_STREAM, record).await;
+}
+
 /// Appends an edit with a given id to a log.
 ///
 /// # Panics
--- a/crates/testing/src/relay.rs
+++ b/crates/testing/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -28,6 +29,10 @@
     pub drops_backward: bool,
     /// Number given to connections opened now.
     pub generation: u64,
+    /// Connections opened before this number of the generation are closed.
+    pub closed_before: u64,
+    /// Time by which bytes are held up.
+    pub delay: time::Duration,
 }
 
 impl Relay {
@@ -64,6 +69,19 @@
         });
     }
 
+    /// Closes the connections open now; new ones work.
+    pub fn close_open(&self) {
+        self.mode.send_modify(|mode| {
+            mode.generation += 1;
+            mode.closed_before = mode.generation;
+        });
+    }
+
+    /// Holds up bytes by `delay`.
+    pub fn delay(&self, delay: time::Duration) {
+        self.mode.send_modify(|mode| mode.delay = delay);
+    }
+
     /// Refuses new connections; open ones stay.
     pub fn stop_listening(&self) {
         self.task.abort();
@@ -87,13 +105,29 @@
 async fn pass(
     mut from: tcp::tcp::OwnedReadHalf,
     mut to: tcp::tcp::OwnedWriteHalf,
-    mode: watch::Receiver<Mode>,
+    mut mode: watch::Receiver<Mode>,
     generation: u64,
     is_forward: bool,
 ) {
     let mut buffer = vec![0; 16 * 1024];
-    while let Ok(count) = from.read(&mut buffer).await {
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            changed = mode.changed() => {
+                if changed.is_err() || generation < mode.borrow().closed_before {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Ok(count) = read else { return };
         let now = *mode.borrow();
+        if generation < now.closed_before {
+            return;
+        }
+        if !now.delay.is_zero() {
+            tokio::time::sleep(now.delay).await;
+        }
         let dropped = if is_forward { now.drops_forward } else { now.drops_backward };
         if generation < now.silent_before || dropped {
             if count == 0 {
