--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -44,6 +44,8 @@
 /// Deadline of both.
 pub const DEADLINE: time::Duration = time::Duration::from_secs(2);
 
+/// Time that a request runs: long enough that some are being run whenever a fault comes.
+const WORK: time::Duration = time::Duration::from_millis(40);
 const SERVICE: &str = "shop";
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const START_MAX: time::Duration = time::Duration::from_secs(20);
@@ -161,9 +163,7 @@
             }
             LogDown | LogLoses | LogSlow => self.log.set_faults(Default::default()),
             Gray | Mute | Cuts => {
-                self.nodes[fault.daemon]
-                    .backend
-                    .change(|behaviour| *behaviour = Default::default());
+                self.nodes[fault.daemon].backend.change(|behaviour| *behaviour = sound());
             }
             Crash => self.replace_backend(fault.daemon).await,
             HangUp | Silence | Close | Policy => {}
@@ -190,9 +190,8 @@
         let node = &mut self.nodes[daemon];
         node.starts += 1;
         node.backend.crash();
-        let behaviour = backend::Behaviour::default();
         let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let fresh = backend::Backend::start_at(SERVICE, behaviour, any, node.starts).await;
+        let fresh = backend::Backend::start_at(SERVICE, sound(), any, node.starts).await;
         fresh.keep_announcing(node.process.ports.beside);
         self.crashed.push(std::mem::replace(&mut node.backend, fresh));
     }
@@ -275,7 +274,7 @@
         let log_file =
             plan.logs.as_ref().map(|dir| dir.join(format!("{}-{number}.log", plan.seed)));
         let process = process::Process::start(&plan.daemon, file, &text, ports, log_file)?;
-        let backend = backend::Backend::start(SERVICE, backend::Behaviour::default()).await;
+        let backend = backend::Backend::start(SERVICE, sound()).await;
         Ok(Self { process, backend, gate, control, starts: 1 })
     }
 
@@ -284,6 +283,11 @@
     }
 }
 
+/// Behaviour of a backend server without faults.
+fn sound() -> backend::Behaviour {
+    backend::Behaviour { time: WORK, ..backend::Behaviour::default() }
+}
+
 fn log_faults(change: impl FnOnce(&mut log_stand_in::Faults)) -> log_stand_in::Faults {
     let mut faults = log_stand_in::Faults::default();
     change(&mut faults);
