--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -339,6 +339,9 @@
             return Some(now + allowed);
         }
         // A late one waits behind those that are not, so few of them are kept, and not for long.
+        if wait > mean {
+            return None;
+        }
         let is_late = |waiting: &Waiting<T>| !waiting.urgency.is_met_by(now + mean);
         let late_max = (LATE_PER_SLOT * self.open_slots(now)) as usize;
         let is_worth_it = end <= arrival.deadline && self.queue.count(is_late) < late_max;
