--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -61,6 +61,8 @@
     pub floor_share: f64,
     /// Whether the request may be run more than once.
     pub repeatable: bool,
+    /// Bytes of its body, as far as stated.
+    pub size: u64,
     /// Upstreams already tried.
     pub tried: &'a [net::SocketAddr],
     /// Time of the decision.
@@ -142,6 +144,9 @@
 const REMOTE_SHARE: f64 = 0.3;
 /// Cost of another failure domain in seconds, on top of the share.
 const REMOTE_SECONDS: f64 = 0.001;
+/// Bytes of a body whose way into another failure domain costs as much as a second of time: bytes
+/// between domains are paid for, so that a large upload rather waits for an upstream near.
+const REMOTE_BYTES_PER_SECOND: f64 = 128.0 * 1024.0;
 /// Cost of each busy slot as a share of the median time, to spread load below saturation.
 const BUSY_SHARE: f64 = 0.1;
 /// Factor on the expected time of an upstream where everything goes wrong, so that one that fails
@@ -185,7 +190,7 @@
             Balance::LoadSeen => {
                 let usable = pool.without_outliers(usable, want);
                 let usable = pool.by_doubt(usable, want, rng);
-                pool.cheapest(&usable, &self.domain, want.now, rng)
+                pool.cheapest(&usable, &self.domain, want, rng)
             }
         }?;
         let (_, upstream) = pool.upstreams.get_index_mut(index)?;
@@ -396,16 +401,19 @@
         &self,
         usable: &[usize],
         domain: &str,
-        now: time::Instant,
+        want: &Want<'_>,
         rng: &mut impl Rng,
     ) -> Option<usize> {
+        let now = want.now;
         let (near, far): (Vec<usize>, Vec<usize>) =
             usable.iter().partition(|&&i| &*self.upstreams[i].candidate.domain == domain);
         let median = self.median(now);
+        let crossing = want.size as f64 / REMOTE_BYTES_PER_SECOND;
+        let crossing = REMOTE_SHARE * median + REMOTE_SECONDS + crossing;
         let mut best: Option<(f64, usize)> = None;
         for (group, is_far) in [(near, false), (far, true)] {
             for index in sample_two(&group, rng) {
-                let remote = if is_far { REMOTE_SHARE * median + REMOTE_SECONDS } else { 0.0 };
+                let remote = if is_far { crossing } else { 0.0 };
                 let cost = self.upstreams[index].cost(median, now) + remote;
                 if best.is_none_or(|(least, _)| cost < least) {
                     best = Some((cost, index));
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -34,7 +34,7 @@
 }
 
 fn want(now: time::Instant) -> Want<'static> {
-    Want { service: "s", floor: 0, floor_share: 0.0, repeatable: true, tried: &[], now }
+    Want { service: "s", floor: 0, floor_share: 0.0, repeatable: true, size: 0, tried: &[], now }
 }
 
 /// Picks `count` times without ending the requests and counts by upstream.
@@ -167,3 +167,29 @@
     });
     assert!(counts[0] < 20, "{counts:?}");
 }
+
+#[test]
+fn a_large_body_stays_in_its_failure_domain_while_a_small_one_spreads() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let now = time::Instant::now();
+    let far_share = |size: u64, rng: &mut SmallRng| {
+        let mut router = Router::new("d0".into(), "a".into(), Balance::LoadSeen);
+        router.sync(vec![candidate(1, "a"), candidate(2, "b"), candidate(3, "b")]);
+        // The near one takes longer, but not so long that it is left out.
+        for number in [1, 2, 3] {
+            let id = candidate(number, "a").id;
+            let took = time::Duration::from_millis(if number == 1 { 100 } else { 40 });
+            for _ in 0..20 {
+                router.ended(&id, Report::Answered { took, is_error: false }, now);
+            }
+        }
+        let picks = (0..200).filter_map(|_| {
+            let picked = router.pick(&Want { size, ..want(now) }, rng)?;
+            router.ended(&picked.id, Report::Refused, now);
+            Some(&*picked.domain == "b")
+        });
+        picks.filter(|is_far| *is_far).count() as f64 / 200.0
+    };
+    assert!(far_share(0, &mut rng) > 0.9);
+    assert!(far_share(60_000, &mut rng) < 0.1);
+}
--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -63,6 +63,8 @@
     decision: view::Decision,
     policy: ids::PolicyVersion,
     idempotent: bool,
+    /// Bytes of the body, 0 if it states none.
+    size: u64,
     head: http::request::Parts,
     source: replay::Source,
     arrived: time::Instant,
@@ -232,7 +234,8 @@
         let view = self.tables.view();
         let key = asked.key.as_deref();
         let decision = view.decide(&asked.host, &asked.path, head.method.as_str(), key)?;
-        if body_length(&head.headers).is_some_and(|length| length > view.limits.body_size) {
+        let size = body_length(&head.headers).unwrap_or(0);
+        if size > view.limits.body_size {
             return Err(outcome::Refusal::BodyTooLarge);
         }
         self.check_rate(&decision, now)?;
@@ -246,7 +249,8 @@
         head::normalise(&mut head, &asked);
         let source = replay::Source::new(incoming, decision.service.stall);
         let policy = view.version;
-        Ok(Job { decision, policy, idempotent, head, source, arrived: now, deadline: now + wait })
+        let (arrived, deadline) = (now, now + wait);
+        Ok(Job { decision, policy, idempotent, size, head, source, arrived, deadline })
     }
 
     fn check_rate(
@@ -510,6 +514,7 @@
             floor: job.decision.service.floor,
             floor_share: job.decision.service.floor_share,
             repeatable: job.is_expendable(progress) && self.may_probe(job),
+            size: job.size,
             tried: &tried,
             now: self.tables.now(),
         };
