--- a/crates/transport/src/entry.rs
+++ b/crates/transport/src/entry.rs
@@ -2,7 +2,9 @@
 
 mod attempt;
 mod head;
+mod lines;
 mod outstanding;
+mod retries;
 
 use std::net;
 use std::sync;
@@ -16,7 +18,6 @@
 use lynxmast_state::doubt;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
-use lynxmast_state::policy::service;
 use lynxmast_state::policy::view;
 use lynxmast_state::retry;
 use lynxmast_state::router;
@@ -164,11 +165,6 @@
 const PAUSE_MAX: time::Duration = time::Duration::from_millis(25);
 /// Gates asked for one request at most.
 const ASKED_MAX: u32 = 16;
-/// Requests answered well between two that leave a line: a line every few seconds at most at a busy
-/// daemon.
-const SUCCESSES_LEFT_OUT: u64 = 200;
-/// Shortest time before a hedge.
-const HEDGE_MIN: time::Duration = time::Duration::from_millis(5);
 
 impl<C: clock::Clock> Entry<C> {
     /// Returns the entry of a daemon with its own `gate`.
@@ -179,7 +175,7 @@
     ) -> Self {
         let own = tables.members().own().daemon.clone();
         let peers = peers::Peers::default();
-        let successes = sampling::Sampling::new(SUCCESSES_LEFT_OUT);
+        let successes = sampling::Sampling::new(lines::SUCCESSES_LEFT_OUT);
         Self { tables, gate, peers, own, identity, successes }
     }
 
@@ -192,7 +188,7 @@
             Ok(job) => job,
             Err(refusal) => {
                 log::info!(event = "request", reason = refusal.word(); "not accepted");
-                count("", outcome::Outcome::NotRun(refusal));
+                lines::count("", outcome::Outcome::NotRun(refusal));
                 return reply::to_caller(outcome::Outcome::NotRun(refusal), &self.identity.dialect);
             }
         };
@@ -204,13 +200,13 @@
         match served {
             Ok(mut response) => {
                 let answered = outcome::Outcome::Answered;
-                count(&service, answered);
+                lines::count(&service, answered);
                 let word = http::HeaderValue::from_static(answered.word());
                 response.headers_mut().insert(names::OUTCOME, word);
                 response
             }
             Err(ended) => {
-                count(&service, ended.outcome());
+                lines::count(&service, ended.outcome());
                 reply::to_caller(ended.outcome(), &self.identity.dialect)
             }
         }
@@ -278,117 +274,6 @@
         outcome.or_else(|ended| shed.ok_or(ended))
     }
 
-    /// Records how long a request took, by service and outcome.
-    fn measure<B>(&self, job: &Job, served: &Result<http::Response<B>, retry::Ended>) {
-        let outcome = served.as_ref().err().map_or(outcome::Outcome::Answered, |e| e.outcome());
-        let took = self.tables.now().saturating_duration_since(job.arrived);
-        metrics::histogram!(
-            "lynxmast_request_seconds",
-            "service" => job.decision.service.name.to_string(),
-            "outcome" => outcome.word()
-        )
-        .record(took.as_secs_f64());
-    }
-
-    /// Writes a line on one of many requests that were answered well, with the number of those
-    /// left out.
-    fn log_success(&self, job: &Job, progress: &Progress, status: http::StatusCode) {
-        let Some(left_out) = self.successes.take() else { return };
-        let took = self.tables.now().saturating_duration_since(job.arrived);
-        log::info!(
-            event = "served",
-            id = job.id(&self.identity.dialect),
-            service = &*job.decision.service.name,
-            route = &*job.decision.route.path,
-            policy = job.policy,
-            status = status.as_u16(),
-            attempts = progress.attempts,
-            asked = progress.asked,
-            took_ms = took.as_millis() as u64,
-            left_out;
-            ""
-        );
-    }
-
-    /// Writes one line on a request that was not answered well, with what decided it.
-    fn log_end<B>(
-        &self,
-        job: &Job,
-        progress: &Progress,
-        served: &Result<http::Response<B>, retry::Ended>,
-    ) {
-        let (outcome, status) = match served {
-            Ok(response) if !response.status().is_server_error() => {
-                return self.log_success(job, progress, response.status());
-            }
-            Ok(response) => (outcome::Outcome::Answered, response.status().as_u16()),
-            Err(ended) => (ended.outcome(), 0),
-        };
-        let now = self.tables.now();
-        self.gate.note_failed_call(now);
-        log::info!(
-            event = "request",
-            id = job.id(&self.identity.dialect),
-            service = &*job.decision.service.name,
-            route = &*job.decision.route.path,
-            policy = job.policy,
-            outcome = outcome.word(),
-            reason = outcome.reason(),
-            status,
-            attempts = progress.attempts,
-            asked = progress.asked,
-            over_budget = progress.is_over_budget,
-            took_ms = now.saturating_duration_since(job.arrived).as_millis() as u64,
-            left_ms = job.deadline.saturating_duration_since(now).as_millis() as u64;
-            "not served"
-        );
-    }
-
-    /// Writes one line on an attempt that was not answered well.
-    fn log_attempt<B>(
-        &self,
-        job: &Job,
-        upstream: net::SocketAddr,
-        gate: net::SocketAddr,
-        started: time::Instant,
-        answer: &Result<http::Response<B>, retry::Ended>,
-    ) {
-        let (outcome, status) = match answer {
-            Ok(response) if !response.status().is_server_error() => return,
-            Ok(response) => (outcome::Outcome::Answered, response.status().as_u16()),
-            Err(ended) => (ended.outcome(), 0),
-        };
-        log::info!(
-            event = "attempt",
-            id = job.id(&self.identity.dialect),
-            upstream:% = upstream,
-            gate:% = gate,
-            outcome = outcome.word(),
-            reason = outcome.reason(),
-            status,
-            took_ms = self.tables.now().saturating_duration_since(started).as_millis() as u64;
-            "attempt ended"
-        );
-    }
-
-    /// Counts a first attempt for the retry budget of its service.
-    fn deposit(&self, service: &service::Service) {
-        let now = self.tables.now();
-        // Calls that a repeated request makes count as repeats too; none goes to its own service.
-        let is_own = *service.name == *self.identity.service;
-        let repeats = if is_own { 0.0 } else { self.gate.repeat_share() };
-        let shared = service.retry_reserve.map(|reserve| retry::Shared {
-            ratio: service.retry_ratio,
-            reserve,
-            window: service.retry_window,
-            daemons: self.tables.members().live(now).count(),
-        });
-        self.tables.with_traffic(&service.name, |traffic| match shared {
-            Some(shared) => traffic.budget.deposit_shared(&shared, repeats, now),
-            None => traffic.budget.deposit(service.retry_ratio),
-        });
-    }
-
     /// Makes attempts until one is answered or another makes no sense.
     async fn attempts(
         &self,
@@ -439,45 +324,6 @@
         }
     }
 
-    /// Tells whether a server error is better replaced by another attempt.
-    fn may_replace<B>(
-        &self,
-        job: &Job,
-        response: &http::Response<B>,
-        progress: &mut Progress,
-    ) -> bool {
-        let shed = retry::Ended::MayHaveRun(outcome::Failure::Shed);
-        let others = self.tables.router().candidates(&job.decision.service.name).len();
-        response.status().is_server_error()
-            && others > progress.tried.len()
-            && self.wants_retry(job, shed, progress.attempts + 1, progress)
-    }
-
-    fn wants_retry(
-        &self,
-        job: &Job,
-        ended: retry::Ended,
-        attempts: u32,
-        progress: &mut Progress,
-    ) -> bool {
-        let situation = retry::Situation {
-            ended,
-            idempotent: job.idempotent,
-            replayable: job.source.is_replayable(),
-            attempts,
-            attempts_max: job.decision.route.attempts,
-            remaining: job.deadline.saturating_duration_since(self.tables.now()),
-        };
-        let service = &job.decision.service.name;
-        if !retry::wants_retry(&situation) {
-            return false;
-        }
-        let is_paid = !ended.reached_upstream()
-            || self.tables.with_traffic(service, |traffic| traffic.budget.withdraw());
-        progress.is_over_budget = !is_paid;
-        is_paid
-    }
-
     /// Makes one attempt, and a second in parallel when the first is unusually slow and the
     /// request may be run twice.
     async fn attempt(
@@ -532,30 +378,6 @@
         progress.asked += 1;
         Ok(Outstanding::new(self.tables.clone(), candidate))
     }
-
-    fn may_probe(&self, job: &Job) -> bool {
-        let service = &job.decision.service.name;
-        self.tables.with_traffic(service, |traffic| traffic.budget.can_spare())
-    }
-
-    fn hedge_after(&self, job: &Job) -> Option<time::Duration> {
-        let service = &job.decision.service;
-        let may = service.hedge && retry::may_run_again(None, job.idempotent);
-        let usual = self.tables.with_traffic(&service.name, |t| t.usual.value());
-        let patience = usual.filter(|_| may).map(time::Duration::from_secs_f64)?;
-        Some(patience.mul_f64(service.hedge_after).max(HEDGE_MIN))
-    }
-
-    fn pick_hedge(&self, job: &Job, progress: &mut Progress) -> Option<Outstanding<C>> {
-        let service = &job.decision.service.name;
-        let possible = job.source.is_whole() && progress.attempts + 1 < job.decision.route.attempts;
-        if !possible || !self.tables.with_traffic(service, |t| t.budget.withdraw()) {
-            return None;
-        }
-        let picked = self.pick(job, progress).ok()?;
-        progress.attempts += 1;
-        Some(picked)
-    }
 }
 
 /// Returns the answer of the other attempt, or the end that says the least about the request.
@@ -571,16 +393,6 @@
     headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-fn count(service: &str, outcome: outcome::Outcome) {
-    metrics::counter!(
-        "lynxmast_requests_total",
-        "service" => service.to_owned(),
-        "outcome" => outcome.word(),
-        "reason" => outcome.reason()
-    )
-    .increment(1);
-}
-
 impl<C: clock::Clock> server::Handler for Entry<C> {
     type Body = body::AnswerBody<C>;
 
