Do not repeat a request whose error follows a failed call

The budget of the caller's service does not know the one of the called service. Change: a gate tells in its verdict that an error follows the failure of a call on its VM; the entry passes it on.

--- a/crates/lynxmastd/src/on_store.rs
+++ b/crates/lynxmastd/src/on_store.rs
@@ -40,7 +40,7 @@
 const BUDGET_USED: f64 = 0.5;
 /// Part of the retries beyond the ratio that the daemons use; the rest is for daemons that start, who
 /// do not know what was spent before, and for calls.
-const RESERVE_USED: f64 = 0.5;
+const RESERVE_USED: f64 = 0.4;
 
 impl<C> OnStore<C> {
     /// Returns the platform whose store is at `address`.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -130,6 +130,9 @@
     pub took: Option<time::Duration>,
     /// How likely the gate takes its upstream to be failing, in percent.
     pub doubt: Option<u8>,
+    /// Whether an error follows the failure of a call that the backend server made, so that it is
+    /// likely not its own.
+    pub of_call: bool,
     /// Policy version in force at the gate.
     pub policy: ids::PolicyVersion,
 }
@@ -150,6 +153,9 @@
         if let Some(doubt) = self.doubt {
             put(headers, header::DOUBT, &doubt.to_string());
         }
+        if self.of_call {
+            put(headers, header::OF_CALL, "true");
+        }
     }
 
     /// Reads a result from an answer's headers.
@@ -171,7 +177,8 @@
         };
         let took = get(headers, header::TOOK_US).ok().map(time::Duration::from_micros);
         let (load, doubt) = (single(headers, header::LOAD), single(headers, header::DOUBT));
-        Ok(Self { ended, load, took, doubt, policy: get(headers, header::POLICY)? })
+        let of_call = headers.contains_key(header::OF_CALL);
+        Ok(Self { ended, load, took, doubt, of_call, policy: get(headers, header::POLICY)? })
     }
 }
 
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -11,7 +11,7 @@
 fn check(ended: Option<retry::Ended>) {
     let load = Some(load::Load { in_use: 1, queued: 2, slots: 4 });
     let took = ended.is_none().then(|| time::Duration::from_micros(1500));
-    let sent = Verdict { ended, load, took, doubt: Some(40), policy: 9 };
+    let sent = Verdict { ended, load, took, doubt: Some(40), of_call: true, policy: 9 };
     let mut headers = HeaderMap::new();
     sent.write(&mut headers);
     assert_eq!(Verdict::read(&headers), Ok(sent));
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -43,6 +43,8 @@
 
 /// Gate to entry: likelihood in percent that the upstream is failing.
 pub const DOUBT: &str = "lynxmast-doubt";
+/// Gate to entry: present if an error follows the failure of a call that the backend server made.
+pub const OF_CALL: &str = "lynxmast-of-call";
 /// Gate to entry: load of the upstream, see `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Gate to entry: microseconds from hand-over to the answer's head.
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -141,7 +141,7 @@
 /// Time for which retries of a shared budget can be saved up: failures come in clumps.
 pub const SAVED_FOR: time::Duration = time::Duration::from_millis(2500);
 /// Part of the reserve that is saved up for a clump of failures; the rest comes back over the window.
-const SAVED_PART: f64 = 0.6;
+const SAVED_PART: f64 = 0.75;
 /// Part of what it may save up that a daemon starts with: it does not know what its predecessor has
 /// spent.
 const START_PART: f64 = 2.0 / 3.0;
--- a/crates/transport/src/entry/attempt.rs
+++ b/crates/transport/src/entry/attempt.rs
@@ -75,7 +75,9 @@
         let attempted = self.gate.run(envelope, request).await;
         let is_error = attempted.result.as_ref().is_ok_and(|r| r.status().is_server_error());
         self.note(&attempted.verdict, is_error, outstanding);
-        attempted.result.map(|response| response.map(Passed::Local))
+        let of_call = attempted.verdict.of_call;
+        let passed = attempted.result.map(|response| response.map(Passed::Local));
+        passed.map(|response| mark(response, of_call))
     }
 
     async fn through_peer(
@@ -116,7 +118,9 @@
         }
         hop::strip_own_headers(response.headers_mut());
         let stall = job.decision.service.stall;
-        Ok(response.map(|incoming| Passed::Remote(stalling::Stalling::new(incoming, stall))))
+        let response =
+            response.map(|incoming| Passed::Remote(stalling::Stalling::new(incoming, stall)));
+        Ok(mark(response, verdict.of_call))
     }
 
     /// Learns from what a gate said.
@@ -164,6 +168,17 @@
     }
 }
 
+/// Marks an answer whose error is likely that of a call which the backend server made.
+#[derive(Debug, Clone, Copy)]
+pub struct OfCall;
+
+fn mark<B>(mut response: http::Response<B>, of_call: bool) -> http::Response<B> {
+    if of_call {
+        response.extensions_mut().insert(OfCall);
+    }
+    response
+}
+
 /// Body of an answer before it is tied to its outstanding request.
 enum Passed<C: clock::Clock> {
     Local(crate::exchange::GateBody<C>),
--- a/crates/transport/src/entry/retries.rs
+++ b/crates/transport/src/entry/retries.rs
@@ -8,6 +8,7 @@
 use lynxmast_state::retry;
 
 use crate::entry;
+use crate::entry::attempt;
 
 /// Shortest time before a hedge.
 const HEDGE_MIN: time::Duration = time::Duration::from_millis(5);
@@ -31,7 +32,9 @@
         });
     }
 
-    /// Tells whether a server error is better replaced by another attempt.
+    /// Tells whether a server error is better replaced by another attempt. The error of a call is
+    /// not: the call has been repeated where it failed, and another attempt would repeat all calls,
+    /// each at the cost of the budget of the service called.
     pub(super) fn may_replace<B>(
         &self,
         job: &entry::Job,
@@ -40,7 +43,9 @@
     ) -> bool {
         let shed = retry::Ended::MayHaveRun(outcome::Failure::Shed);
         let others = self.tables.router().candidates(&job.decision.service.name).len();
+        let of_call = response.extensions().get::<attempt::OfCall>().is_some();
         response.status().is_server_error()
+            && !of_call
             && others > progress.tried.len()
             && self.wants_retry(job, shed, progress.attempts + 1, progress)
     }
--- a/crates/transport/src/gate.rs
+++ b/crates/transport/src/gate.rs
@@ -125,7 +125,10 @@
         let load = upstream.map(|upstream| upstream.load(now));
         let ended = result.as_ref().err().copied();
         let policy = self.tables.view().version;
-        Attempted { result, verdict: envelope::Verdict { ended, load, took, doubt, policy } }
+        let is_error = result.as_ref().is_ok_and(|response| response.status().is_server_error());
+        let of_call = is_error && self.may_be_of_a_call(now);
+        let verdict = envelope::Verdict { ended, load, took, doubt, of_call, policy };
+        Attempted { result, verdict }
     }
 
     async fn attempt(
--- a/crates/transport/src/gate_server.rs
+++ b/crates/transport/src/gate_server.rs
@@ -82,7 +82,8 @@
         *response.status_mut() = status;
         let ended = Some(retry::Ended::NotRun(refusal));
         let policy = self.tables.view().version;
-        let verdict = envelope::Verdict { ended, load: None, took: None, doubt: None, policy };
+        let (load, took, doubt, of_call) = (None, None, None, false);
+        let verdict = envelope::Verdict { ended, load, took, doubt, of_call, policy };
         verdict.write(response.headers_mut());
         response
     }
