--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -75,13 +75,16 @@
         let log = log_stand_in::LogStandIn::start(0).await;
         sections::publish(&log, &section(0), 0).await;
         let mut nodes: Vec<Node> = Vec::new();
+        let mut taken = Default::default();
         let run = RUNS.fetch_add(1, atomic::Ordering::Relaxed);
         for number in 0..plan.processes {
             let peers: Vec<String> =
                 nodes.iter().take(3).map(|node| node.control.address.to_string()).collect();
             let name = format!("lynxmast-soak-{}-{run}-{number}.toml", std::process::id());
             let file = std::env::temp_dir().join(name);
-            let node = Node::start(plan, file, number, log.address, &peers).await;
+            let ports = process::Ports::choose(&mut taken)
+                .map_err(|error| format!("ports of daemon {number}: {error}"))?;
+            let node = Node::start(plan, file, number, log.address, &peers, ports).await;
             nodes.push(node.map_err(|error| format!("daemon {number}: {error}"))?);
         }
         let fleet = Self { log, nodes, crashed: Vec::new(), edits: 0 };
@@ -254,8 +257,8 @@
         number: usize,
         log: net::SocketAddr,
         peers: &[String],
+        ports: process::Ports,
     ) -> std::io::Result<Self> {
-        let ports = process::Ports::choose()?;
         let gate = relay::Relay::start(ports.gate).await;
         let control = relay::Relay::start(ports.control).await;
         let domain = DOMAINS[number % DOMAINS.len()];
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,5 +1,6 @@
 //! One daemon as a process of its own.
 
+use std::collections;
 use std::fs;
 use std::net;
 use std::ops;
@@ -58,16 +59,19 @@
 
 impl Ports {
     /// Chooses free ports below those that the system gives to outgoing connections, as a daemon
-    /// needs the same ones again at its next start.
+    /// needs the same ones again at its next start. `taken` holds those of other daemons, which may
+    /// not have opened theirs yet.
     ///
     /// # Errors
     ///
     /// Says that no port is free.
-    pub fn choose() -> std::io::Result<Self> {
+    pub fn choose(taken: &mut collections::BTreeSet<u16>) -> std::io::Result<Self> {
         let mut held: Vec<net::TcpListener> = Vec::new();
         for _ in 0..TRIES {
             let port = rand::rng().random_range(PORTS);
-            held.extend(net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)));
+            if taken.insert(port) {
+                held.extend(net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)));
+            }
         }
         let taken = || std::io::Error::from(std::io::ErrorKind::AddrInUse);
         let address = |index: usize| held.get(index).ok_or_else(taken)?.local_addr();
@@ -178,3 +182,6 @@
         let _ = fs::remove_file(&self.settings);
     }
 }
+
+#[cfg(test)]
+mod tests;
