--- a/crates/soak/src/main.rs
+++ b/crates/soak/examples/soak.rs
@@ -1,4 +1,4 @@
-//! `lynxmast-soak`: plays seeds of the fault soak and reports the promises that were broken.
+//! Plays seeds of the fault soak and reports the promises that were broken.
 
 use std::path;
 use std::process;
