Open a daemon's ports in one structure

Cause: the last read found the daemon's ports listed twice, in Parts and in Ports. Change: Parts holds the daemon and its Ports. No behaviour changes.

--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -101,13 +101,13 @@
         clock: C,
         metrics: Option<prometheus::PrometheusHandle>,
     ) -> Result<Self, StartError> {
-        let parts = Parts::open(&settings, clock, gate::Speech::default()).await?;
-        let state = parts.daemon.start_log_coordination(&settings, log, parts.control);
-        let beside = beside::Beside::new(parts.daemon.gate.clone());
-        parts.daemon.serve(parts.beside, beside);
-        parts.daemon.serve_admin(parts.admin, parts.metrics, state, metrics);
-        parts.daemon.serve_requests(settings, parts.entry, parts.gate);
-        Ok(parts.daemon)
+        let Parts { daemon, ports } =
+            Parts::open(&settings, clock, gate::Speech::default()).await?;
+        let state = daemon.start_log_coordination(&settings, log, ports.control);
+        daemon.serve(ports.beside, beside::Beside::new(daemon.gate.clone()));
+        daemon.serve_admin(ports.admin, ports.metrics, state, metrics);
+        daemon.serve_requests(settings, ports.entry, ports.gate);
+        Ok(daemon)
     }
 
     /// Opens all ports and starts to serve on a platform.
@@ -122,12 +122,11 @@
         metrics: Option<prometheus::PrometheusHandle>,
     ) -> Result<Self, StartError> {
         let speech = gate::Speech { dialect: platform.dialect(), heartbeat: settings.heartbeat };
-        let parts = Parts::open(&settings, clock, speech).await?;
-        let daemon = parts.daemon;
-        let state = daemon.start_store_coordination(&settings, &platform, parts.control);
-        daemon.serve(parts.beside, platform.beside(daemon.gate.clone()));
-        daemon.serve_admin(parts.admin, parts.metrics, state, metrics);
-        daemon.serve_requests(settings, parts.entry, parts.gate);
+        let Parts { daemon, ports } = Parts::open(&settings, clock, speech).await?;
+        let state = daemon.start_store_coordination(&settings, &platform, ports.control);
+        daemon.serve(ports.beside, platform.beside(daemon.gate.clone()));
+        daemon.serve_admin(ports.admin, ports.metrics, state, metrics);
+        daemon.serve_requests(settings, ports.entry, ports.gate);
         Ok(daemon)
     }
 
@@ -351,12 +350,7 @@
 /// A daemon that does not serve yet, with its opened ports.
 struct Parts<C: clock::Clock> {
     daemon: Daemon<C>,
-    entry: server::Server,
-    gate: server::Server,
-    beside: server::Server,
-    admin: server::Server,
-    metrics: Option<server::Server>,
-    control: tcp::TcpListener,
+    ports: Ports,
 }
 
 impl<C: clock::Clock> Parts<C> {
@@ -365,12 +359,11 @@
         clock: C,
         speech: gate::Speech,
     ) -> Result<Self, StartError> {
-        let Ports { listen, entry, gate, beside, admin, metrics, control } =
-            Ports::open(settings).await?;
-        let own = own_record(settings, &listen, &clock);
+        let ports = Ports::open(settings).await?;
+        let own = own_record(settings, &ports.listen, &clock);
         let tables = sync::Arc::new(tables::Tables::new(own, settings.limits.balance, clock));
         let daemon = Daemon {
-            listen,
+            listen: ports.listen.clone(),
             tables: tables.clone(),
             gate: sync::Arc::new(gate::Gate::new(tables, speech)),
             limits: settings.limits.clone(),
@@ -380,7 +373,7 @@
             tasks: TaskTracker::new(),
             resumed: Default::default(),
         };
-        Ok(Self { daemon, entry, gate, beside, admin, metrics, control })
+        Ok(Self { daemon, ports })
     }
 }
 
