Report the closing of sidecars, registrations and left-out upstreams

Adds the events sidecar-closed and upstream-registered and the gauge lynxmast_upstreams by service and state. Test: router::tests::availability_counts_each_upstream_by_the_reason_for_leaving_it_out.

--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -89,6 +89,21 @@
         self.shared.is_current() && !self.sidecar.is_shutting_down() && self.has_upstreams()
     }
 
+    /// Sets the gauges of the upstreams that the ingress selects or leaves out.
+    fn record_availability(&self) {
+        let router = self.shared.router();
+        for (service, availability) in router.availability(self.shared.now()) {
+            for (state, count) in availability.by_state() {
+                metrics::gauge!(
+                    "lynxmast_upstreams",
+                    "service" => service.to_string(),
+                    "state" => state
+                )
+                .set(count);
+            }
+        }
+    }
+
     /// Returns status and body of the response to a GET request.
     fn respond(&self, path: &str) -> (http::StatusCode, Bytes) {
         let ok = http::StatusCode::OK;
@@ -100,6 +115,7 @@
             api::TIMELINE_PATH => (ok, client::json(&self.shared.timeline())),
             api::POLICY_PATH => (ok, client::json(&self.policy())),
             api::METRICS_PATH => {
+                self.record_availability();
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
                 (ok, Bytes::from(text.unwrap_or_default()))
             }
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -14,6 +14,8 @@
         Started,
         /// The daemon stopped accepting new requests.
         ShutdownStarted,
+        /// The sidecar rejects new requests, as the daemon shuts down.
+        SidecarClosed,
         /// The daemon has no requests in flight any more.
         Stopped,
         /// A policy version became active.
@@ -100,6 +102,7 @@
         match self {
             Kind::Started => "started",
             Kind::ShutdownStarted => "stopping",
+            Kind::SidecarClosed => "sidecar-closed",
             Kind::Stopped => "stopped",
             Kind::PolicyInForce { .. } => "policy-in-force",
             Kind::LogLost => "store-lost",
@@ -135,6 +138,7 @@
         match self {
             Kind::Started => f.write_str("started"),
             Kind::ShutdownStarted => f.write_str("shutdown started"),
+            Kind::SidecarClosed => f.write_str("sidecar closed"),
             Kind::Stopped => f.write_str("stopped"),
             Kind::PolicyInForce { version } => write!(f, "policy version {version} is active"),
             Kind::LogLost => f.write_str("policy source is unreachable"),
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -1,6 +1,7 @@
 //! Upstream selection at the ingress: load-aware balancing that prefers the ingress's own failure
 //! domain, exclusion of failing upstreams down to the floor, and subsetting of large services.
 
+mod availability;
 mod selection;
 
 use std::collections;
@@ -19,6 +20,8 @@
 use crate::outlier;
 use crate::statistics;
 
+pub use availability::Availability;
+
 /// Load-balancing policy of an ingress. All but `LoadSeen` are baselines for measurements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -141,6 +144,9 @@
 const LATENCY_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
 /// Half-life of the load that other ingresses cause, as reported by the sidecar.
 const LOAD_HALF_LIFE: time::Duration = time::Duration::from_millis(500);
+/// Multiple of the service's median latency above which an upstream is excluded, as long as the
+/// others have enough slots for the floor.
+const SLOW_FACTOR: f64 = 3.0;
 /// Half-life of an upstream's latency in excess of the median, so that a slow upstream is tried
 /// again.
 const SLOW_HALF_LIFE: time::Duration = time::Duration::from_secs(10);
@@ -285,6 +291,14 @@
         upstreams.map(|upstream| upstream.candidate.clone()).collect()
     }
 
+    /// Counts the upstreams of each service by whether and why they are left out of selection.
+    pub fn availability(
+        &self,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (&ids::ServiceName, Availability)> {
+        self.pools.iter().map(move |(service, pool)| (service, pool.availability(now)))
+    }
+
     /// Reduces the candidates to [`SUBSET_MAX`], spread over failure domains by rendezvous hashing,
     /// so that each ingress has its own subset and a membership change affects few of them.
     fn subset(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
@@ -384,6 +398,11 @@
         others + f64::from(self.outstanding)
     }
 
+    /// Returns whether the effective latency is within [`SLOW_FACTOR`] of the median.
+    fn is_fast(&self, median: f64, now: time::Instant) -> bool {
+        self.effective_latency(median, now) <= median * SLOW_FACTOR
+    }
+
     /// Returns the expected latency in seconds, raised by the fraction of failed requests.
     fn effective_latency(&self, median: f64, now: time::Instant) -> f64 {
         let factor = 1.0 + ERROR_COST_FACTOR * self.smoothed_error_rate(now);
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -16,9 +16,6 @@
 const CROSS_DOMAIN_COST_FRACTION: f64 = 0.3;
 /// Cost of another failure domain in seconds, in addition to the fraction of the median.
 const CROSS_DOMAIN_COST_S: f64 = 0.001;
-/// Multiple of the service's median latency above which an upstream is excluded, as long as the
-/// others have enough slots for the floor.
-const SLOW_FACTOR: f64 = 3.0;
 /// Probability that a first attempt that may probe suspected upstreams does so, to detect a
 /// recovery.
 const PROBE_PROBABILITY: f64 = 0.2;
@@ -55,9 +52,7 @@
         criteria: &router::Criteria<'_>,
     ) -> Vec<usize> {
         let median = self.median_latency(criteria.now);
-        let is_fast = |&index: &usize| {
-            self.upstreams[index].effective_latency(median, criteria.now) <= median * SLOW_FACTOR
-        };
+        let is_fast = |&index: &usize| self.upstreams[index].is_fast(median, criteria.now);
         let fast: Vec<usize> = usable.iter().copied().filter(is_fast).collect();
         let slots: u32 = fast.iter().map(|&i| self.upstreams[i].candidate.slots).sum();
         if slots >= self.floor(criteria) { fast } else { usable }
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -209,3 +209,19 @@
     assert!(cross_domain_share(0, &mut rng) > 0.9);
     assert!(cross_domain_share(60_000, &mut rng) < 0.1);
 }
+
+#[test]
+fn availability_counts_each_upstream_by_the_reason_for_leaving_it_out() {
+    let mut router = router(&["a", "a", "a", "a"]);
+    let now = time::Instant::now();
+    for n in 0..4 {
+        let elapsed = time::Duration::from_millis(if n == 1 { 100 } else { 10 });
+        let result = AttemptResult::Responded { elapsed, is_error: false };
+        router.record_result(&candidate(n, "").id, result, now);
+    }
+    router.record_sidecar_failure("d0", now);
+    router.record_failure_probability(&candidate(2, "").id, 0.9, now);
+    let (_, availability) = router.availability(now).next().expect("one service");
+    let expected = Availability { selectable: 1, backed_off: 1, slow: 1, suspected: 1 };
+    assert_eq!(availability, expected);
+}
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -371,6 +371,7 @@
     /// Rejects new requests from now on and drains all upstreams.
     pub fn close(&self) {
         self.closing.store(true, atomic::Ordering::Release);
+        self.shared.record_event(event::Kind::SidecarClosed);
         for upstream in self.upstreams() {
             upstream.drain();
         }
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -73,6 +73,13 @@
         let address = announcement.address;
         let id = ids::UpstreamId { service: announcement.service.clone(), address };
         let Some(existing) = self.find_upstream(&id) else {
+            log::info!(
+                event = "upstream-registered",
+                upstream:% = id,
+                incarnation = lease.incarnation,
+                slots = lease.slots;
+                "local upstream registered"
+            );
             let limits = admission_limits(service, lease.slots);
             let clock = self.shared.clock.clone();
             let upstream = upstream::Upstream::new(id.clone(), limits, lease, clock);
