Add a failing test of the pause of an upstream beside a restarting daemon

The bound is the two seconds after which a sound upstream without requests counts as unused (floor rule).

--- a/crates/testing/tests/shutdown.rs
+++ b/crates/testing/tests/shutdown.rs
@@ -17,6 +17,10 @@
 
 /// Longest time that an ingress may still send new requests to a daemon that shuts down.
 const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+/// Time that the platform takes to start a stopped daemon again.
+const RESTART_DELAY: time::Duration = time::Duration::from_millis(700);
+/// Time without requests after which a sound upstream counts as unused.
+const IDLE_MAX: time::Duration = time::Duration::from_secs(2);
 const CHUNKS: usize = 40;
 const CHUNK_BYTES: usize = 10_000;
 
@@ -122,3 +126,44 @@
     assert_eq!(fleet.daemons[1].shutdown().await, daemon::Shutdown::TimedOut { in_flight: 1 });
     assert!(started.elapsed() < time::Duration::from_secs(2));
 }
+
+/// Returns the longest time without a new run at a backend server until `until`.
+async fn longest_pause(
+    backend: sync::Arc<backend::Backend>,
+    until: time::Instant,
+) -> time::Duration {
+    let (mut runs, mut last_run) = (backend.runs(), time::Instant::now());
+    let mut longest = time::Duration::ZERO;
+    while time::Instant::now() < until {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+        longest = longest.max(last_run.elapsed());
+        if backend.runs() != runs {
+            (runs, last_run) = (backend.runs(), time::Instant::now());
+        }
+    }
+    longest
+}
+
+// Guards against excluding an upstream while its terminated daemon can still forward requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_restart_leaves_its_upstream_unused_for_less_than_two_seconds() {
+    let mut fleet = fleet::Fleet::start(&["a", "a", "a"], &[&fleet::section(ROUTE)]).await;
+    let mut backends = Vec::new();
+    for daemon in 0..3 {
+        let backend = fleet.add_backend(daemon, "s", backend::Behaviour::default()).await;
+        backends.push(sync::Arc::new(backend));
+    }
+    let until = time::Instant::now() + time::Duration::from_secs(8);
+    let load_task = tokio::spawn(count_failures(
+        vec![fleet.ingress_address(0), fleet.ingress_address(1)],
+        until,
+    ));
+    let pause = tokio::spawn(longest_pause(backends[2].clone(), until));
+    assert_eq!(fleet.daemons[2].shutdown().await, daemon::Shutdown::Complete);
+    tokio::time::sleep(RESTART_DELAY).await;
+    fleet.add_daemon_with("a", |settings| settings.name = "d3".into()).await;
+    backends[2].announce(fleet.daemons[3].listen.beside).await;
+    assert_eq!(load_task.await.expect("the load ends"), 0);
+    let pause = pause.await.expect("the observation ends");
+    assert!(pause < IDLE_MAX, "no requests for {pause:?}");
+}
