Keep the sidecar of a terminated daemon open until its ingress closes

Cause: one record announced the departure of a daemon for both of its roles. The other ingresses excluded the upstream within 0.1 s of SIGTERM, and its sidecar closed after 1.5 s, although the process serves its callers for 2.5 s and awaits requests in flight after that.

Change: the sidecar serves for as long as the ingress, and both close together. A closed sidecar still rejects as not run, so a late announcement costs a hop only. status reports a daemon as leaving from the signal on, as before.

Test: shutdown::a_daemon_restart_leaves_its_upstream_unused_for_less_than_two_seconds failed before with 3.23 s and 3.25 s without requests and passes. Workspace tests pass.

--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -35,7 +35,7 @@
         drop(membership);
         api::Status {
             daemon: own.daemon,
-            leaving: own.leaving,
+            leaving: self.sidecar.is_shutting_down(),
             policy: own.policy,
             log: self.follower.source_reachable.load(atomic::Ordering::Acquire),
             upstreams: self.upstreams(),
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -78,12 +78,15 @@
     },
 }
 
-/// Time that gossip takes to spread a departure to nearly every ingress. Until then the sidecar
-/// still runs the requests that it receives.
-const DEPARTURE_PROPAGATION: time::Duration = time::Duration::from_millis(1500);
-/// Time between the readiness check starting to fail and the ingress closing: callers poll
-/// readiness once a second and stop using a daemon after two failures.
+/// Time that gossip takes to spread a departure to nearly every ingress. The departure is announced
+/// this long before the sidecar closes.
+const DEPARTURE_PROPAGATION: time::Duration = time::Duration::from_millis(500);
+/// Time between the readiness check starting to fail and the daemon accepting no more requests:
+/// callers poll readiness once a second and stop using a daemon after two failures.
 const READINESS_GRACE: time::Duration = time::Duration::from_millis(2500);
+/// Largest fraction of the shutdown timeout during which new requests are accepted. The rest is
+/// left for the requests in flight.
+const ACCEPTING_FRACTION: f64 = 0.5;
 /// Fraction of the shutdown timeout for which requests in flight may keep running. The rest is left
 /// for the process to exit before it is killed.
 const SHUTDOWN_FRACTION: f64 = 0.9;
@@ -296,14 +299,13 @@
         });
     }
 
-    /// Shuts down gracefully: announces the departure to the fleet, fails the readiness check,
-    /// rejects new requests and waits for requests in flight until shortly before the shutdown
-    /// timeout of the settings.
+    /// Shuts down gracefully: fails the readiness check, serves until callers have noticed,
+    /// announces the departure to the fleet, rejects new requests and waits for requests in flight
+    /// until shortly before the shutdown timeout of the settings.
     pub async fn shutdown(&self) -> Shutdown {
         log::info!(event = "stopping", daemon = &*self.name(), gate:% = self.listen.gate; "");
         self.shared.record_event(event::Kind::ShutdownStarted);
         self.sidecar.announce_shutdown();
-        self.shared.membership().update_own_record(|own| own.leaving = true);
         let timeout = self.limits.shutdown.mul_f64(SHUTDOWN_FRACTION);
         let drained = tokio::time::timeout(timeout, self.drain_requests()).await;
         let in_flight = self.sidecar.in_flight();
@@ -323,22 +325,23 @@
         }
     }
 
-    /// Closes the sidecar after [`DEPARTURE_PROPAGATION`] and the ingress after
-    /// [`READINESS_GRACE`], then waits until no request is in flight.
+    /// Serves for [`READINESS_GRACE`], then closes the sidecar and the ingress and waits until no
+    /// request is in flight.
+    ///
+    /// Both close at the same time: as long as the ingress keeps the process running anyway, the
+    /// backend servers beside it can serve the fleet.
     async fn drain_requests(&self) {
-        let close_sidecar = async {
-            // An ingress that has not received the departure yet keeps sending requests. They are
-            // still run here, because they could not wait for a slot anywhere else.
-            tokio::time::sleep(DEPARTURE_PROPAGATION).await;
-            self.sidecar.close();
-        };
-        let close_ingress = async {
-            tokio::time::sleep(READINESS_GRACE).await;
-            self.ingress_stop.cancel();
-            self.ingress_tasks.close();
-            self.ingress_tasks.wait().await;
-        };
-        tokio::join!(close_sidecar, close_ingress);
+        let grace = READINESS_GRACE.min(self.limits.shutdown.mul_f64(ACCEPTING_FRACTION));
+        let propagation = DEPARTURE_PROPAGATION.min(grace);
+        tokio::time::sleep(grace - propagation).await;
+        self.shared.membership().update_own_record(|own| own.leaving = true);
+        self.shared.sync_router();
+        // An ingress that has not received the departure yet keeps sending requests.
+        tokio::time::sleep(propagation).await;
+        self.sidecar.close();
+        self.ingress_stop.cancel();
+        self.ingress_tasks.close();
+        self.ingress_tasks.wait().await;
         while self.sidecar.in_flight() > 0 {
             tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
         }
