Announce the departure of a daemon when its ingress closes

The departure now spreads while the ingress waits for its requests, and the sidecar closes 0.5 s after it. The tests of shutdown pass.

--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -78,13 +78,11 @@
     },
 }
 
-/// Time that gossip takes to spread a departure to nearly every ingress. The departure is announced
-/// this long before the sidecar closes.
+/// Time that gossip takes to spread a departure to nearly every ingress.
 const DEPARTURE_PROPAGATION: time::Duration = time::Duration::from_millis(500);
-/// Time between the readiness check starting to fail and the daemon accepting no more requests:
-/// callers poll readiness once a second and stop using a daemon after two failures.
+/// Time between the readiness check starting to fail and the ingress closing: callers poll readiness once a second and stop using a daemon after two failures.
 const READINESS_GRACE: time::Duration = time::Duration::from_millis(2500);
-/// Largest fraction of the shutdown timeout during which new requests are accepted. The rest is
+/// Largest fraction of the shutdown timeout during which the ingress accepts requests. The rest is
 /// left for the requests in flight.
 const ACCEPTING_FRACTION: f64 = 0.5;
 /// Fraction of the shutdown timeout for which requests in flight may keep running. The rest is left
@@ -325,23 +323,25 @@
         }
     }
 
-    /// Serves for [`READINESS_GRACE`], then closes the sidecar and the ingress and waits until no
-    /// request is in flight.
+    /// Serves for [`READINESS_GRACE`], then closes the ingress and announces the departure, closes
+    /// the sidecar when that has spread, and waits until no request is in flight.
     ///
-    /// Both close at the same time: as long as the ingress keeps the process running anyway, the
-    /// backend servers beside it can serve the fleet.
+    /// The sidecar serves for as long as the ingress keeps the process running anyway, since nobody
+    /// else can reach the backend servers on this VM.
     async fn drain_requests(&self) {
         let grace = READINESS_GRACE.min(self.limits.shutdown.mul_f64(ACCEPTING_FRACTION));
-        let propagation = DEPARTURE_PROPAGATION.min(grace);
-        tokio::time::sleep(grace - propagation).await;
-        self.shared.membership().update_own_record(|own| own.leaving = true);
-        self.shared.sync_router();
-        // An ingress that has not received the departure yet keeps sending requests.
-        tokio::time::sleep(propagation).await;
-        self.sidecar.close();
+        tokio::time::sleep(grace).await;
         self.ingress_stop.cancel();
         self.ingress_tasks.close();
-        self.ingress_tasks.wait().await;
+        self.shared.membership().update_own_record(|own| own.leaving = true);
+        self.shared.sync_router();
+        let close_sidecar = async {
+            // Until then, requests of ingresses that have not received the departure are run, and
+            // those waiting for a slot may get one.
+            tokio::time::sleep(DEPARTURE_PROPAGATION.min(grace)).await;
+            self.sidecar.close();
+        };
+        tokio::join!(close_sidecar, self.ingress_tasks.wait());
         while self.sidecar.in_flight() > 0 {
             tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
         }
