End the waits of daemons at the policy source in turn

Cause: every reader waited up to 25 s at the store, with a timeout of 28 s. A wait whose response the store had dropped looked like one without news; the connection stayed alive, so keep-alive probes did not end it either. Class: a wait that cannot tell no news from no response.

Change: the daemons that read the source take turns by name and time of day, so that one wait ends in every second and a store that does not end it 300 ms later counts as lost. The fleet makes one call a second, however many daemons wait. The start of a response and the whole response have timeouts of their own, so that a silent store is noticed early and a large document can still be transferred.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -113,7 +113,8 @@
     /// Fetches and applies a document: the next update while following, the newest one otherwise.
     async fn update(&mut self, is_following: bool) -> Result<(), platform_log::PlatformError> {
         let fetched = if is_following {
-            self.source.wait_for_update().await?
+            let turn = self.shared.membership().read_turn(self.shared.now());
+            self.source.wait_for_update(turn.wait(self.shared.clock.wall())).await?
         } else {
             self.source.newest().await?
         };
--- a/crates/coordination/src/document_follower/tests.rs
+++ b/crates/coordination/src/document_follower/tests.rs
@@ -23,6 +23,7 @@
 
     async fn wait_for_update(
         &mut self,
+        _: time::Duration,
     ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
         std::future::pending().await
     }
--- a/crates/coordination/src/document_source.rs
+++ b/crates/coordination/src/document_source.rs
@@ -1,6 +1,7 @@
 //! Interface to a source of complete, versioned policy documents, used instead of a log of edits.
 
 use std::future;
+use std::time;
 
 use lynxmast_state::ids;
 use lynxmast_state::policy::document;
@@ -27,14 +28,15 @@
         &mut self,
     ) -> impl future::Future<Output = Result<Option<Revision>, platform_log::PlatformError>> + Send;
 
-    /// Waits for a document published after the previous call. Returns `None` if the source ends
-    /// the long poll without a valid new document.
+    /// Waits for at most `wait` for a document published after the previous call. Returns `None` if
+    /// the source ends the long poll without a valid new document.
     ///
     /// # Errors
     ///
-    /// Fails when the source does not respond or its response is malformed, or when the source no
-    /// longer keeps what was published after the previous call.
+    /// Fails when the source does not end the long poll in time or its response is malformed, or
+    /// when the source no longer keeps what was published after the previous call.
     fn wait_for_update(
         &mut self,
+        wait: time::Duration,
     ) -> impl future::Future<Output = Result<Option<Revision>, platform_log::PlatformError>> + Send;
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod policy;
 pub mod priority;
 pub mod rate_limit;
+pub mod read_turn;
 pub mod retry;
 pub mod router;
 pub mod sampling;
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -11,6 +11,7 @@
 
 use crate::ids;
 use crate::member;
+use crate::read_turn;
 use crate::router;
 
 value! {
@@ -159,6 +160,15 @@
         Followers { following: following.count(), preceding: preceding.count() }
     }
 
+    /// Returns this daemon's turn among all live daemons that read the policy from its source,
+    /// ordered by name.
+    pub fn read_turn(&self, now: time::Instant) -> read_turn::ReadTurn {
+        let own = &self.own_record.daemon;
+        let others = self.live_records(now).skip(1).filter(|record| record.follows_source);
+        let (before, after): (Vec<_>, Vec<_>) = others.partition(|record| record.daemon < *own);
+        read_turn::ReadTurn { position: before.len(), readers: before.len() + 1 + after.len() }
+    }
+
     /// Sets the active policy version. It spreads with the heartbeat rather than as a change of the
     /// record, since a new version would otherwise change the records of all daemons at once.
     pub fn set_policy_version(&mut self, version: ids::PolicyVersion) {
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -41,6 +41,22 @@
     pub body: Bytes,
 }
 
+/// Time allowed for a response, counted from the end of connecting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time until the head of the response has arrived.
+    pub start: time::Duration,
+    /// Time until the whole response has arrived.
+    pub total: time::Duration,
+}
+
+impl Timeouts {
+    /// Allows `timeout` for the whole response.
+    pub fn same(timeout: time::Duration) -> Self {
+        Self { start: timeout, total: timeout }
+    }
+}
+
 /// Longest wait for a connection, independent of the time allowed for the response.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Largest response body in bytes.
@@ -58,11 +74,26 @@
     body: Bytes,
     timeout: time::Duration,
 ) -> Result<Response, ClientError> {
-    let connect_timeout = timeout.min(CONNECT_TIMEOUT);
+    exchange_within(address, method, target, body, Timeouts::same(timeout)).await
+}
+
+/// Sends one request on a new connection and reads the complete response within `timeouts`.
+///
+/// # Errors
+///
+/// `Connect` means that the request was not sent; after the other errors it may have been.
+pub async fn exchange_within(
+    address: net::SocketAddr,
+    method: http::Method,
+    target: &str,
+    body: Bytes,
+    timeouts: Timeouts,
+) -> Result<Response, ClientError> {
+    let connect_timeout = timeouts.start.min(CONNECT_TIMEOUT);
     let connecting = socket::connect(address, connect_timeout);
     let stream = connecting.await.map_err(|_| ClientError::Connect)?;
-    let response = send(stream, address, method, target, body);
-    tokio::time::timeout(timeout, response).await.map_err(|_| ClientError::Timeout)?
+    let response = send(stream, address, method, target, body, timeouts.start);
+    tokio::time::timeout(timeouts.total, response).await.map_err(|_| ClientError::Timeout)?
 }
 
 async fn send(
@@ -71,6 +102,7 @@
     method: http::Method,
     target: &str,
     body: Bytes,
+    start_timeout: time::Duration,
 ) -> Result<Response, ClientError> {
     let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|_| ClientError::Connect)?;
@@ -81,7 +113,8 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(body))
         .map_err(|_| ClientError::Lost)?;
-    let response = sender.send_request(request).await.map_err(|_| ClientError::Lost)?;
+    let response = tokio::time::timeout(start_timeout, sender.send_request(request)).await;
+    let response = response.map_err(|_| ClientError::Timeout)?.map_err(|_| ClientError::Lost)?;
     let status = response.status();
     let collected = Limited::new(response.into_body(), RESPONSE_SIZE_MAX).collect().await;
     driver.abort();
