Let only the first daemons of a domain wait for the first configuration

A daemon to which the store has responded now decides by its place in its domain whether to wait, also while it has no policy; the others take it from their peers. Test: only_the_first_daemons_of_a_domain_wait_for_the_first_document, case 3 failed before (1 wait).

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -62,8 +62,9 @@
     pub async fn run(mut self, stop: CancellationToken) {
         let mut backoff = BACKOFF_MIN;
         let mut is_following = false;
+        let mut has_responded = false;
         while !stop.is_cancelled() {
-            if !self.must_follow() {
+            if !self.must_follow(has_responded) {
                 is_following = false;
                 self.set_follows_source(false);
                 stop.run_until_cancelled(tokio::time::sleep(ROLE_CHECK_INTERVAL)).await;
@@ -79,10 +80,17 @@
                 () = stop.cancelled() => return,
             };
             is_following = result.is_ok();
-            self.set_follows_source(is_following && self.must_follow());
+            let is_first = result.is_ok() && !has_responded;
+            has_responded |= result.is_ok();
+            self.set_follows_source(is_following && self.must_follow(has_responded));
             self.record_reachability(&result);
             if result.is_ok() {
                 backoff = BACKOFF_MIN;
+                if is_first && !self.shared.is_current() {
+                    // No document has been published yet. Only a few daemons need to wait for it;
+                    // which ones is known once the membership has converged.
+                    stop.run_until_cancelled(tokio::time::sleep(ROLE_CHECK_INTERVAL)).await;
+                }
                 continue;
             }
             let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
@@ -92,10 +100,11 @@
     }
 
     /// Returns `true` if this daemon has to follow the source itself: if its policy is not yet
-    /// current, if it is among the first daemons of its failure domain by name, or if too few
-    /// others there reach the source. The remaining daemons fetch the policy from their peers.
-    fn must_follow(&self) -> bool {
-        if !self.shared.is_current() {
+    /// current and the source has not responded yet, if it is among the first daemons of its failure
+    /// domain by name, or if too few others there reach the source. The remaining daemons fetch the
+    /// policy from their peers.
+    fn must_follow(&self, has_responded: bool) -> bool {
+        if !self.shared.is_current() && !has_responded {
             return true;
         }
         let followers = self.shared.membership().domain_followers(self.shared.now());
--- a/crates/coordination/src/document_follower/tests.rs
+++ b/crates/coordination/src/document_follower/tests.rs
@@ -4,35 +4,47 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::member;
+use lynxmast_state::membership;
 use lynxmast_state::router;
 
 use super::*;
 
-/// Source with a single document; counts the calls for the newest document.
+/// Source with at most one document; counts the calls.
 #[derive(Debug, Clone, Default)]
-struct CountingSource(sync::Arc<atomic::AtomicU32>);
+struct CountingSource {
+    is_empty: bool,
+    /// Calls for the newest document.
+    newest: sync::Arc<atomic::AtomicU32>,
+    /// Calls that wait for an update.
+    waits: sync::Arc<atomic::AtomicU32>,
+}
 
 impl document_source::DocumentSource for CountingSource {
     async fn newest(
         &mut self,
     ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
-        self.0.fetch_add(1, atomic::Ordering::AcqRel);
-        let document = Default::default();
-        Ok(Some(document_source::Revision { version: 3, document }))
+        self.newest.fetch_add(1, atomic::Ordering::AcqRel);
+        let revision = document_source::Revision { version: 3, document: Default::default() };
+        Ok((!self.is_empty).then_some(revision))
     }
 
     async fn wait_for_update(
         &mut self,
         _: time::Duration,
     ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
+        self.waits.fetch_add(1, atomic::Ordering::AcqRel);
         std::future::pending().await
     }
 }
 
-fn shared_state() -> sync::Arc<shared_state::SharedState<clock::ManualClock>> {
+fn record(daemon: &str) -> member::Record {
     let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
     let addresses = member::Addresses { sidecar: address, control: address, admin: address };
-    let own = member::Record::new("d1".into(), 1, "a".into(), addresses);
+    member::Record::new(daemon.into(), 1, "a".into(), addresses)
+}
+
+fn shared_state() -> sync::Arc<shared_state::SharedState<clock::ManualClock>> {
+    let own = record("d9");
     let clock = clock::ManualClock::new();
     sync::Arc::new(shared_state::SharedState::new(own, router::Balance::LoadSeen, clock))
 }
@@ -62,12 +74,51 @@
     };
     let stop = CancellationToken::new();
     let running = tokio::spawn(follower.run(stop.clone()));
-    assert!(wait_for_calls(&source.0, 1).await, "the document is fetched at the start");
+    assert!(wait_for_calls(&source.newest, 1).await, "the document is fetched at the start");
     assert_eq!(shared.policy().version, 3);
     tokio::time::sleep(time::Duration::from_millis(50)).await;
-    assert!(wait_for_calls(&source.0, 1).await, "it is not fetched again while nothing changes");
+    assert!(
+        wait_for_calls(&source.newest, 1).await,
+        "it is not fetched again while nothing changes"
+    );
     resumed.notify_one();
-    assert!(wait_for_calls(&source.0, 2).await, "it is fetched again after a resume");
+    assert!(wait_for_calls(&source.newest, 2).await, "it is fetched again after a resume");
+    stop.cancel();
+    running.await.expect("the follower ends without a panic");
+}
+
+/// Starts a follower of an empty source and returns the number of its waits after twice the time
+/// between checks of its role. `others` are the daemons of its domain that follow the source.
+async fn count_waits(others: &[&str]) -> u32 {
+    let (source, shared) =
+        (CountingSource { is_empty: true, ..Default::default() }, shared_state());
+    let records = others.iter().map(|name| {
+        let record = record(name);
+        member::Record { follows_source: true, ..record }
+    });
+    let message = membership::GossipMessage { records: records.collect(), ..Default::default() };
+    shared.membership().apply(&message, shared.now());
+    let follower = DocumentFollower {
+        shared,
+        source: source.clone(),
+        state: Default::default(),
+        resumed: Default::default(),
+    };
+    let stop = CancellationToken::new();
+    let running = tokio::spawn(follower.run(stop.clone()));
+    tokio::time::sleep(ROLE_CHECK_INTERVAL * 2).await;
     stop.cancel();
     running.await.expect("the follower ends without a panic");
+    source.waits.load(atomic::Ordering::Acquire)
+}
+
+#[test_case::test_case(&[], 1; "alone")]
+#[test_case::test_case(&["d1", "d2"], 1; "third of the domain")]
+#[test_case::test_case(&["d1", "d2", "d3"], 0; "fourth of the domain")]
+#[tokio::test]
+async fn only_the_first_daemons_of_a_domain_wait_for_the_first_document(
+    others: &[&str],
+    expected: u32,
+) {
+    assert_eq!(count_waits(others).await, expected);
 }
