Count only lasting readers of the policy source in the turns

Seen by callers: possible only; found by a run of 27 daemons on the fake store. In a fleet whose daemons have just started, all of them read the source for a moment. Three of 27 remained, but their turns had been computed for 27 and lasted 25 s, so a silence of the store was not noticed within 8 s.

A turn now counts, of each failure domain, only the daemons that read by their place in it. A wait that fails no longer takes the daemon out of the readers before a new call has failed too: otherwise every failed wait made the rest of the domain call the store.

Test: membership::tests::turns_count_only_the_daemons_that_keep_reading.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -71,6 +71,7 @@
                 continue;
             }
             let resumed = self.resumed.clone();
+            let was_following = is_following;
             let result = tokio::select! {
                 result = self.update(is_following) => result,
                 () = resumed.notified() => {
@@ -82,8 +83,11 @@
             is_following = result.is_ok();
             let is_first = result.is_ok() && !has_responded;
             has_responded |= result.is_ok();
-            self.set_follows_source(is_following && self.must_follow(has_responded));
-            self.record_reachability(&result);
+            // A wait may fail although the source responds to a new call, which decides.
+            if result.is_ok() || !was_following {
+                self.set_follows_source(is_following && self.must_follow(has_responded));
+                self.record_reachability(&result);
+            }
             if result.is_ok() {
                 backoff = BACKOFF_MIN;
                 if is_first && !self.shared.is_current() {
@@ -122,7 +126,7 @@
     /// Fetches and applies a document: the next update while following, the newest one otherwise.
     async fn update(&mut self, is_following: bool) -> Result<(), platform_log::PlatformError> {
         let fetched = if is_following {
-            let turn = self.shared.membership().read_turn(self.shared.now());
+            let turn = self.shared.membership().read_turn(FOLLOWERS, self.shared.now());
             self.source.wait_for_update(turn.wait(self.shared.clock.wall())).await?
         } else {
             self.source.newest().await?
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -160,13 +160,23 @@
         Followers { following: following.count(), preceding: preceding.count() }
     }
 
-    /// Returns this daemon's turn among all live daemons that read the policy from its source,
-    /// ordered by name.
-    pub fn read_turn(&self, now: time::Instant) -> read_turn::ReadTurn {
+    /// Returns this daemon's turn among the live daemons that read the policy from its source, in
+    /// the order of their names. Of each failure domain only the first `per_domain` daemons count,
+    /// since others stop reading soon; a longer turn would last until long after that.
+    pub fn read_turn(&self, per_domain: usize, now: time::Instant) -> read_turn::ReadTurn {
+        let mut by_domain: IndexMap<&ids::DomainName, Vec<&member::Record>> = IndexMap::new();
+        for record in self.live_records(now).filter(|record| !record.leaving) {
+            by_domain.entry(&record.domain).or_default().push(record);
+        }
         let own = &self.own_record.daemon;
-        let others = self.live_records(now).skip(1).filter(|record| record.follows_source);
-        let (before, after): (Vec<_>, Vec<_>) = others.partition(|record| record.daemon < *own);
-        read_turn::ReadTurn { position: before.len(), readers: before.len() + 1 + after.len() }
+        let mut others = Vec::new();
+        for mut records in by_domain.into_values() {
+            records.sort_by_key(|record| &record.daemon);
+            let readers = records.into_iter().take(per_domain);
+            others.extend(readers.filter(|r| r.follows_source && r.daemon != *own));
+        }
+        let position = others.iter().filter(|record| record.daemon < *own).count();
+        read_turn::ReadTurn { position, readers: others.len() + 1 }
     }
 
     /// Sets the active policy version. It spreads with the heartbeat rather than as a change of the
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -121,3 +121,19 @@
     assert_eq!(gossiped, ["d200"]);
     assert!(!next.requests_all);
 }
+
+// Guards against turns that count daemons which stop reading soon, and then last far too long.
+#[test]
+fn turns_count_only_the_daemons_that_keep_reading() {
+    let now = time::Instant::now();
+    let mut fleet: Vec<Membership> = (0..9).map(membership).collect();
+    fleet.iter_mut().for_each(|m| m.update_own_record(|own| own.follows_source = true));
+    gossip(&mut fleet, 4, now);
+    let turn = |position| read_turn::ReadTurn { position, readers: 3 };
+    assert_eq!(fleet[1].read_turn(3, now), turn(1));
+    // A daemon that still reads takes a turn, although the others do not count it.
+    assert_eq!(fleet[8].read_turn(3, now), read_turn::ReadTurn { position: 3, readers: 4 });
+    fleet[0].update_own_record(|own| own.follows_source = false);
+    gossip(&mut fleet, 4, now);
+    assert_eq!(fleet[1].read_turn(3, now), read_turn::ReadTurn { position: 0, readers: 2 });
+}
