Follow the era of the store and start again after a restore

Seen by callers: a configuration is not applied if a restored store gives out its offset a second time while a daemon reads the newest records.

Cause: the client ignored the era in the store's responses, and the configuration source kept the larger of the offsets before and after the restore.

The client now takes the era from every response, also from rejections. Outside platform/ the source only reports that it was restored.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -97,6 +97,9 @@
                 }
                 continue;
             }
+            if result == Err(platform_log::PlatformError::Restored) {
+                continue;
+            }
             let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
             stop.run_until_cancelled(tokio::time::sleep(jittered)).await;
             backoff = (backoff * 2).min(BACKOFF_MAX);
@@ -147,7 +150,7 @@
     }
 
     fn record_reachability(&self, result: &Result<(), platform_log::PlatformError>) {
-        let is_reachable = result.is_ok();
+        let is_reachable = matches!(result, Ok(()) | Err(platform_log::PlatformError::Restored));
         let was_reachable =
             self.state.source_reachable.swap(is_reachable, atomic::Ordering::AcqRel);
         if was_reachable == is_reachable {
--- a/crates/coordination/src/platform_log.rs
+++ b/crates/coordination/src/platform_log.rs
@@ -58,6 +58,8 @@
     CallFailed,
     /// the platform's log or store sent a malformed response
     MalformedResponse,
+    /// the platform's store was restored from an older copy
+    Restored,
 }
 
 impl std::error::Error for PlatformError {}
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -23,6 +23,9 @@
 /// Version of the policy: the log offset of the newest accepted edit plus one, or 0 without a
 /// policy.
 pub type PolicyVersion = u64;
+/// Number of restores of the policy source from older copies, plus a constant. It increases with
+/// each restore; 0 if unknown.
+pub type SourceEpoch = u64;
 
 value! {
     /// Identifies an upstream: the address of a backend server within a service.
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -37,6 +37,8 @@
 pub struct Response {
     /// HTTP status.
     pub status: http::StatusCode,
+    /// Headers.
+    pub headers: http::HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -115,11 +117,11 @@
         .map_err(|_| ClientError::Lost)?;
     let response = tokio::time::timeout(start_timeout, sender.send_request(request)).await;
     let response = response.map_err(|_| ClientError::Timeout)?.map_err(|_| ClientError::Lost)?;
-    let status = response.status();
-    let collected = Limited::new(response.into_body(), RESPONSE_SIZE_MAX).collect().await;
+    let (head, incoming) = response.into_parts();
+    let collected = Limited::new(incoming, RESPONSE_SIZE_MAX).collect().await;
     driver.abort();
     let body = collected.map_err(|_| ClientError::Lost)?.to_bytes();
-    Ok(Response { status, body })
+    Ok(Response { status: head.status, headers: head.headers, body })
 }
 
 /// Builds a response with a complete body.
