Register endpoints again that a restore of the store has lost

Seen by callers: possible only; a daemon that starts while it knows nobody does not find those whose endpoints were lost with the copy.

Cause: each daemon registered at its start only, and most daemons make no calls to the store after it, so they could not notice a restore.

The epoch of the source now spreads with the heartbeats, like the policy version. Each daemon looks its endpoint up once per restore, spread over 1.5 s, and registers it again only if it is missing.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -25,9 +25,19 @@
     }
 }
 
+/// Contents of the registry.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Directory {
+    /// Registered endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// Epoch of the registry that holds them; 0 if unknown.
+    pub epoch: ids::SourceEpoch,
+}
+
 /// Registry outside the fleet that keeps one endpoint per daemon.
 pub trait Discovery: Send + Sync + 'static {
-    /// Registers the endpoint of a daemon, replacing an earlier one.
+    /// Registers the endpoint of a daemon, replacing an earlier one. Returns the epoch of the
+    /// registry that holds it; 0 if unknown.
     ///
     /// # Errors
     ///
@@ -35,7 +45,7 @@
     fn register(
         &self,
         endpoint: &Endpoint,
-    ) -> impl future::Future<Output = Result<(), platform_log::PlatformError>> + Send;
+    ) -> impl future::Future<Output = Result<ids::SourceEpoch, platform_log::PlatformError>> + Send;
 
     /// Returns all registered endpoints, which may include those of daemons that are gone.
     ///
@@ -44,14 +54,14 @@
     /// Fails when the registry does not respond or its response is malformed.
     fn endpoints(
         &self,
-    ) -> impl future::Future<Output = Result<Vec<Endpoint>, platform_log::PlatformError>> + Send;
+    ) -> impl future::Future<Output = Result<Directory, platform_log::PlatformError>> + Send;
 }
 
 /// Addresses of daemons that gossip contacts in addition to the known members.
 pub type Seeds = sync::Arc<sync::Mutex<Vec<net::SocketAddr>>>;
 
-/// Registers a daemon at its start and looks up seeds, at the start and whenever no other daemon is
-/// live.
+/// Registers a daemon at its start, and again if a restore of the registry has lost the endpoint.
+/// Looks up seeds at the start and whenever no other daemon is live.
 #[derive(Debug)]
 pub struct Bootstrap<C: clock::Clock, D: Discovery> {
     /// State shared by all parts of the daemon.
@@ -66,12 +76,17 @@
 const BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
 /// Longest backoff after a failed call.
 const BACKOFF_MAX: time::Duration = time::Duration::from_secs(2);
-/// Time between checks of whether any other daemon is live.
-const CHECK_INTERVAL: time::Duration = time::Duration::from_secs(3);
+/// Time between checks of whether the registry was restored. A check is local.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Checks between two lookups while no other daemon is live.
+const CHECKS_PER_LOOKUP: u32 = 12;
+/// Time over which the daemons spread their calls after a restore of the registry, which limits the
+/// calls that it accepts per second.
+const RESTORE_SPREAD: time::Duration = time::Duration::from_millis(1500);
 
 impl<C: clock::Clock, D: Discovery> Bootstrap<C, D> {
-    /// Registers this daemon's endpoint and looks up seeds, then looks up seeds again whenever no
-    /// other daemon is live, until `stop` is cancelled.
+    /// Registers this daemon's endpoint and looks up seeds. Then keeps the endpoint registered, and
+    /// looks up seeds again whenever no other daemon is live, until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let own = {
             let membership = self.shared.membership();
@@ -81,36 +96,89 @@
         // Registers before looking up others, so that of two daemons that start at the same time
         // at least one finds the other.
         let mut backoff = BACKOFF_MIN;
-        while let Err(error) = self.register(&own).await {
-            log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
+        let registered = loop {
+            match self.register(&own).await {
+                Ok(epoch) => break epoch,
+                Err(error) => {
+                    log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
+                }
+            }
             let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
             if stop.run_until_cancelled(tokio::time::sleep(jittered)).await.is_none() {
                 return;
             }
             backoff = (backoff * 2).min(BACKOFF_MAX);
-        }
-        while stop.run_until_cancelled(tokio::time::sleep(CHECK_INTERVAL)).await.is_some() {
-            let live = self.shared.membership().live_records(self.shared.now()).count();
-            if live > 1 {
-                continue;
-            }
-            if let Err(error) = self.refresh_seeds(&own).await {
+        };
+        stop.run_until_cancelled(self.maintain(&own, registered)).await;
+    }
+
+    /// Keeps the endpoint registered, and looks up seeds while no other daemon is live. `registered`
+    /// is the epoch of the registry that holds the endpoint.
+    async fn maintain(&self, own: &Endpoint, mut registered: ids::SourceEpoch) {
+        let mut checks = 0_u32;
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            checks = checks.wrapping_add(1);
+            let newest = self.adopt_epoch();
+            let is_alone =
+                self.shared.membership().live_records(self.shared.now()).nth(1).is_none();
+            let result = if newest > registered {
+                let delay = rand::rng().random_range(time::Duration::ZERO..RESTORE_SPREAD);
+                tokio::time::sleep(delay).await;
+                self.repair_registration(own).await.map(|epoch| registered = epoch)
+            } else if is_alone && checks.is_multiple_of(CHECKS_PER_LOOKUP) {
+                self.refresh_seeds(own).await.map(drop)
+            } else {
+                Ok(())
+            };
+            if let Err(error) = result {
                 log::warn!(event = "directory", reason:% = error; "lookup of other daemons failed");
             }
         }
     }
 
-    async fn register(&self, own: &Endpoint) -> Result<(), platform_log::PlatformError> {
-        self.discovery.register(own).await?;
-        self.refresh_seeds(own).await
+    /// Takes over the newest epoch of the registry known to any daemon, and returns it. Most daemons
+    /// make no calls to the registry and learn of a restore from their peers.
+    fn adopt_epoch(&self) -> ids::SourceEpoch {
+        let mut membership = self.shared.membership();
+        let newest = membership.source_epoch();
+        membership.advance_source_epoch(newest);
+        newest
     }
 
-    async fn refresh_seeds(&self, own: &Endpoint) -> Result<(), platform_log::PlatformError> {
-        let endpoints = self.discovery.endpoints().await?;
-        let others = endpoints.into_iter().filter(|endpoint| endpoint.control != own.control);
+    /// Registers the endpoint again if the registry has lost it. Returns the epoch of the registry
+    /// that holds it.
+    async fn repair_registration(
+        &self,
+        own: &Endpoint,
+    ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        let directory = self.refresh_seeds(own).await?;
+        if directory.endpoints.contains(own) {
+            return Ok(directory.epoch);
+        }
+        log::info!(event = "directory"; "registering the endpoint again after a restore");
+        self.discovery.register(own).await
+    }
+
+    async fn register(
+        &self,
+        own: &Endpoint,
+    ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        let epoch = self.discovery.register(own).await?;
+        self.refresh_seeds(own).await?;
+        Ok(epoch)
+    }
+
+    /// Looks up the registered endpoints and takes those of the other daemons as seeds.
+    async fn refresh_seeds(
+        &self,
+        own: &Endpoint,
+    ) -> Result<Directory, platform_log::PlatformError> {
+        let directory = self.discovery.endpoints().await?;
+        let others = directory.endpoints.iter().filter(|endpoint| endpoint.control != own.control);
         let others: Vec<net::SocketAddr> = others.map(|endpoint| endpoint.control).collect();
         log::info!(event = "directory", others = others.len(); "looked up other daemons");
         *self.seeds.lock().unwrap_or_else(sync::PoisonError::into_inner) = others;
-        Ok(())
+        Ok(directory)
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod peer_sync;
 pub mod platform_log;
 pub mod rate_limit_reporter;
+pub mod restore_monitor;
 pub mod snapshots;
--- a/crates/lynxmast/src/status.rs
+++ b/crates/lynxmast/src/status.rs
@@ -21,6 +21,9 @@
     let state = if status.leaving { "leaving" } else { "serving" };
     let log = if status.log { "responds" } else { "does not respond" };
     println!("daemon {} is {state}, policy version {}, log {log}", status.daemon, status.policy);
+    if status.source_epoch > 0 {
+        println!("epoch of the policy source: {}", status.source_epoch);
+    }
     println!("\nlocal upstreams:");
     for upstream in &status.upstreams {
         let state = if upstream.draining { "draining" } else { "serving" };
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -32,12 +32,14 @@
         let membership = self.shared.membership();
         let records = membership.all_records().cloned().collect();
         let own = membership.own_record().clone();
+        let source_epoch = membership.source_epoch();
         drop(membership);
         api::Status {
             daemon: own.daemon,
             leaving: self.sidecar.is_shutting_down(),
             policy: own.policy,
             log: self.follower.source_reachable.load(atomic::Ordering::Acquire),
+            source_epoch,
             upstreams: self.upstreams(),
             members: records,
         }
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -15,6 +15,7 @@
 use lynxmast_coordination::peer_sync;
 use lynxmast_coordination::platform_log;
 use lynxmast_coordination::rate_limit_reporter;
+use lynxmast_coordination::restore_monitor;
 use lynxmast_coordination::snapshots;
 use lynxmast_protocol::control;
 use lynxmast_state::clock;
@@ -235,6 +236,11 @@
         let bootstrap =
             discovery::Bootstrap { shared: shared.clone(), discovery: platform.discovery(), seeds };
         self.tasks.spawn(bootstrap.run(self.stop.clone()));
+        let monitor = restore_monitor::RestoreMonitor {
+            shared: shared.clone(),
+            epochs: platform.source_epochs(),
+        };
+        self.tasks.spawn(monitor.run(self.stop.clone()));
         let wake = self.sidecar.policy_refresh.clone();
         let peer_follower = document_follower::PeerFollower { peers, wake };
         self.tasks.spawn(peer_follower.run(self.stop.clone()));
--- a/crates/lynxmastd/src/platform.rs
+++ b/crates/lynxmastd/src/platform.rs
@@ -6,8 +6,10 @@
 use lynxmast_coordination::document_source;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::clock;
+use lynxmast_state::ids;
 use lynxmast_transport::server;
 use lynxmast_transport::sidecar;
+use tokio::sync::watch;
 
 /// Adapter to the platform that daemons run on.
 pub trait Platform<C: clock::Clock> {
@@ -27,6 +29,10 @@
     /// Returns the registry of the fleet's daemons.
     fn discovery(&self) -> Self::Discovery;
 
+    /// Returns the epoch of the policy source, which increases when the source is restored from an
+    /// older copy.
+    fn source_epochs(&self) -> watch::Receiver<Option<ids::SourceEpoch>>;
+
     /// Returns the interface that passes announcements of local backend servers to `sidecar`.
     fn local_api(&self, sidecar: sync::Arc<sidecar::Sidecar<C>>) -> Self::LocalApi;
 }
--- a/crates/lynxmastd/src/store_platform.rs
+++ b/crates/lynxmastd/src/store_platform.rs
@@ -12,8 +12,10 @@
 use lynxmast_platform::store;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::clock;
+use lynxmast_state::ids;
 use lynxmast_state::policy::service;
 use lynxmast_transport::sidecar;
+use tokio::sync::watch;
 
 use crate::platform;
 use crate::settings;
@@ -99,6 +101,10 @@
         discovery::StoreDiscovery::new(self.store.clone())
     }
 
+    fn source_epochs(&self) -> watch::Receiver<Option<ids::SourceEpoch>> {
+        self.store.era.subscribe()
+    }
+
     fn local_api(&self, sidecar: sync::Arc<sidecar::Sidecar<C>>) -> Self::LocalApi {
         heartbeat_server::HeartbeatServer::new(sidecar, self.clock.clone())
     }
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -31,6 +31,9 @@
         pub policy: ids::PolicyVersion,
         /// Whether the most recent call to the source of the policy (log or store) succeeded.
         pub log: bool,
+        /// Newest epoch of the policy source known to the daemon; 0 if unknown.
+        #[serde(default)]
+        pub source_epoch: ids::SourceEpoch,
         /// Local upstreams.
         pub upstreams: Vec<Upstream>,
         /// Membership records of the known daemons, each as published by that daemon.
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -27,6 +27,13 @@
         LogLost,
         /// The source of the policy is reachable again.
         LogBack,
+        /// The source of the policy was restored from an older copy.
+        SourceRestored {
+            /// Epoch before; 0 if unknown.
+            from: ids::SourceEpoch,
+            /// Epoch since.
+            to: ids::SourceEpoch,
+        },
         /// A daemon joined or restarted.
         DaemonJoined {
             /// The daemon.
@@ -107,6 +114,7 @@
             Kind::PolicyInForce { .. } => "policy-in-force",
             Kind::LogLost => "store-lost",
             Kind::LogBack => "store-back",
+            Kind::SourceRestored { .. } => "source-restored",
             Kind::DaemonJoined { .. } => "daemon-joined",
             Kind::DaemonLeaving { .. } => "daemon-leaving",
             Kind::DaemonGone { .. } => "daemon-gone",
@@ -143,6 +151,9 @@
             Kind::PolicyInForce { version } => write!(f, "policy version {version} is active"),
             Kind::LogLost => f.write_str("policy source is unreachable"),
             Kind::LogBack => f.write_str("policy source is reachable again"),
+            Kind::SourceRestored { from, to } => {
+                write!(f, "policy source was restored from an older copy, epoch {from} to {to}")
+            }
             Kind::DaemonJoined { daemon } => write!(f, "daemon {daemon} joined"),
             Kind::DaemonLeaving { daemon } => write!(f, "daemon {daemon} is shutting down"),
             Kind::DaemonGone { daemon } => write!(f, "daemon {daemon} was removed"),
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -35,6 +35,9 @@
         pub follows_source: bool,
         /// Upstreams on the daemon's VM.
         pub upstreams: Vec<Upstream>,
+        /// Newest epoch of the policy source known to the daemon.
+        #[serde(default)]
+        pub source_epoch: ids::SourceEpoch,
     }
 
     /// Upstream in the record of its daemon.
@@ -63,6 +66,9 @@
         /// Version of the policy active at the daemon as of that heartbeat.
         #[serde(default)]
         pub policy: ids::PolicyVersion,
+        /// Newest epoch of the policy source known to the daemon as of that heartbeat.
+        #[serde(default)]
+        pub source_epoch: ids::SourceEpoch,
     }
 }
 
@@ -109,6 +115,7 @@
             policy: 0,
             follows_source: false,
             upstreams: Vec::new(),
+            source_epoch: 0,
         }
     }
 
@@ -120,6 +127,7 @@
             version: self.version,
             heartbeat: self.heartbeat,
             policy: self.policy,
+            source_epoch: self.source_epoch,
         }
     }
 
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -97,8 +97,8 @@
 const TICKS_PER_IDLE_ROUND: u32 = 20;
 /// Ticks between gossip rounds while updates are pending, in a small fleet.
 const TICKS_PER_UPDATE_ROUND: u32 = 4;
-/// Number of ticks after a new policy version that use [`URGENT_FANOUT`].
-const POLICY_URGENT_TICKS: u32 = 4;
+/// Number of ticks after a new policy version or source epoch that use [`URGENT_FANOUT`].
+const NEWS_URGENT_TICKS: u32 = 4;
 /// Number of peers from which a fleet counts as large. A large fleet always has pending updates, so
 /// its rounds keep a constant interval.
 const LARGE_FLEET_PEERS: usize = 128;
@@ -184,7 +184,22 @@
     pub fn set_policy_version(&mut self, version: ids::PolicyVersion) {
         self.own_record.policy = version;
         self.own_record.heartbeat += 1;
-        self.urgent_ticks = POLICY_URGENT_TICKS;
+        self.urgent_ticks = NEWS_URGENT_TICKS;
+    }
+
+    /// Returns the newest epoch of the policy source that any daemon knows; 0 if none does.
+    pub fn source_epoch(&self) -> ids::SourceEpoch {
+        self.all_records().map(|record| record.source_epoch).max().unwrap_or(0)
+    }
+
+    /// Sets the epoch of the policy source if it is newer than the one that this daemon knows. Like
+    /// a policy version, it spreads with the heartbeat.
+    pub fn advance_source_epoch(&mut self, epoch: ids::SourceEpoch) {
+        if epoch > self.own_record.source_epoch {
+            self.own_record.source_epoch = epoch;
+            self.own_record.heartbeat += 1;
+            self.urgent_ticks = NEWS_URGENT_TICKS;
+        }
     }
 
     /// Changes this daemon's record and schedules it for gossip.
@@ -467,6 +482,7 @@
         {
             self.record.heartbeat = digest.heartbeat;
             self.record.policy = self.record.policy.max(digest.policy);
+            self.record.source_epoch = self.record.source_epoch.max(digest.source_epoch);
             self.last_seen = now;
         }
     }
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -137,3 +137,20 @@
     gossip(&mut fleet, 4, now);
     assert_eq!(fleet[1].read_turn(3, now), read_turn::ReadTurn { position: 0, readers: 2 });
 }
+
+#[test]
+fn a_source_epoch_spreads_and_never_decreases() {
+    let now = time::Instant::now();
+    let mut fleet: Vec<Membership> = (0..30).map(membership).collect();
+    gossip(&mut fleet, 4, now);
+    fleet[3].advance_source_epoch(7);
+    fleet[3].advance_source_epoch(6);
+    for _ in 0..4 {
+        gossip(&mut fleet, 1, now);
+        for membership in &mut fleet {
+            let newest = membership.source_epoch();
+            membership.advance_source_epoch(newest);
+        }
+    }
+    assert!(fleet.iter().all(|membership| membership.source_epoch() == 7));
+}
