Reject expired requests in the queue before their turn, without a charge

Seen by callers: a request whose wait had expired took a turn of its organisation, which delayed that organisation's next request, and its rejection waited for a free slot.

The queue now rejects expired requests first, and only a request that gets a slot is charged.

Test: admission::tests::an_expired_request_is_rejected_without_a_charge_and_before_its_turn failed before (no rejection while no slot was free).

--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -251,12 +251,11 @@
         }
     }
 
-    /// Assigns free slots to queued requests; one that has waited too long when its turn comes is
-    /// rejected instead. Call this after every change, and on a timer during the ramp, since slots
-    /// open over time.
+    /// Rejects the queued requests that have waited too long, and assigns free slots to the others.
+    /// Call this after every change, and on a timer during the ramp, since slots open over time.
     pub fn dequeue(&mut self, now: time::Instant) -> Vec<Dequeued<T>> {
         self.add_credit(now);
-        let mut dequeued = Vec::new();
+        let mut dequeued = self.reject_expired(now);
         loop {
             let class = self.share_class(None, now);
             if !self.has_slot(class, now) {
@@ -265,16 +264,25 @@
             let mean = self.service_time().unwrap_or_default();
             let next = self.queue.pop_min_by_key(|waiting| waiting.priority.order(mean, now));
             let Some(waiting) = next else { break };
-            if waiting.until <= now {
-                dequeued.push(Dequeued::Reject(waiting.item, outcome::Rejection::WaitTooLong));
-                continue;
-            }
             self.take_slot(class, &waiting.priority, now);
             dequeued.push(Dequeued::Admit(waiting.item, class));
         }
         dequeued
     }
 
+    /// Removes the queued requests that have waited too long. Their organisations are not charged.
+    fn reject_expired(&mut self, now: time::Instant) -> Vec<Dequeued<T>> {
+        let is_expired = |waiting: &QueuedRequest<T>| waiting.until <= now;
+        if self.queue.count(is_expired) == 0 {
+            return Vec::new();
+        }
+        let expired = self.queue.remove_where(is_expired).into_iter();
+        let reject = |waiting: QueuedRequest<T>| {
+            Dequeued::Reject(waiting.item, outcome::Rejection::WaitTooLong)
+        };
+        expired.map(reject).collect()
+    }
+
     /// Removes a queued request. Returns `false` if it is no longer queued.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         !self.queue.remove_where(|waiting| waiting.ticket == ticket).is_empty()
--- a/crates/state/src/admission/tests.rs
+++ b/crates/state/src/admission/tests.rs
@@ -207,3 +207,24 @@
     let overloaded = p99_sum(&[rate, rate, rate, rate * 10.0]);
     assert!(overloaded <= baseline * 1.5, "{:.2} times the baseline", overloaded / baseline);
 }
+
+// Guards against a request that no longer waits taking its organisation's turn.
+#[test]
+fn an_expired_request_is_rejected_without_a_charge_and_before_its_turn() {
+    let now = time::Instant::now();
+    let mut admission = Admission::new(limits(1, 8), now);
+    admission.admit(&arrival(now), 0, now);
+    let of = |organisation: &str, wait| Arrival {
+        organisation: organisation.into(),
+        deadline: now + wait,
+        ..arrival(now)
+    };
+    admission.admit(&of("b", SECOND / 4), 1, now);
+    admission.admit(&of("b", SECOND), 2, now);
+    admission.admit(&of("c", SECOND), 3, now);
+    let later = now + SECOND / 2;
+    // No slot is free, so nobody's turn has come.
+    assert_eq!(admission.dequeue(later), [Dequeued::Reject(1, outcome::Rejection::WaitTooLong)]);
+    admission.release(ShareClass::Fair, None, later);
+    assert_eq!(admission.dequeue(later), [Dequeued::Admit(2, ShareClass::Fair)]);
+}
