Log the id of a request that is rejected before it is routed

Seen by operators: lynxmast explain found no line for a request that the ingress rejected before routing, for example without a policy, as its log line had no id.

Test: signals::a_request_rejected_before_routing_is_logged_with_its_id failed before.

--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -76,8 +76,7 @@
 impl RequestContext {
     /// Returns the request id sent by the caller, or `-` if there is none.
     fn id(&self, scheme: &header_scheme::HeaderScheme) -> &str {
-        let id = self.head.headers.get(&scheme.exchange_id).and_then(|id| id.to_str().ok());
-        id.unwrap_or("-")
+        telemetry::id_text(self.head.headers.get(&scheme.exchange_id))
     }
 
     /// Returns whether a sidecar may send the request a second time on its own. A retry budget that
@@ -194,19 +193,15 @@
         &self,
         request: http::Request<Incoming>,
     ) -> http::Response<body::ResponseBody<C>> {
+        let scheme = &self.identity.header_scheme;
+        let id = request.headers().get(&scheme.exchange_id).cloned();
         let context = match self.accept(request) {
             Ok(context) => context,
             Err(rejection) => {
-                log::info!(
-                    event = "request",
-                    reason = rejection.as_str();
-                    "request rejected by ingress"
-                );
-                telemetry::count_outcome("", outcome::Outcome::NotRun(rejection));
-                return error_response::for_outcome(
-                    outcome::Outcome::NotRun(rejection),
-                    &self.identity.header_scheme,
-                );
+                let outcome = outcome::Outcome::NotRun(rejection);
+                telemetry::log_rejection(id.as_ref(), outcome);
+                telemetry::count_outcome("", outcome);
+                return error_response::for_outcome(outcome, scheme);
             }
         };
         let service = context.route_match.service.name.clone();
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -126,6 +126,22 @@
     outcome == outcome::Outcome::Answered && status < 500
 }
 
+/// Returns the text of a request id; `-` if there is none.
+pub fn id_text(id: Option<&http::HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
+
+/// Logs a request that the ingress rejects before it is routed.
+pub fn log_rejection(id: Option<&http::HeaderValue>, outcome: outcome::Outcome) {
+    log::info!(
+        event = "request",
+        id = id_text(id),
+        outcome = outcome.as_str(),
+        reason = outcome.reason();
+        "request rejected by ingress"
+    );
+}
+
 /// Counts a request by service, outcome and reason.
 pub fn count_outcome(service: &str, outcome: outcome::Outcome) {
     metrics::counter!(
