Pick an avoided upstream rather than reject, and spread over suspected ones

Seen by callers: a request was rejected with no-upstream although an upstream in back-off was left, as the upstreams that it had tried filled the floor; retries went to slow upstreams although untried fast ones were left, for the same reason; and while all upstreams were suspected, one of them got every request.

The floor for slow upstreams now refers to the untried ones. Avoided upstreams follow once all others have been tried. While all are suspected, requests go to those at least half as likely to succeed as the best one.

Tests, each failed before: router::tests::an_avoided_upstream_is_picked_once_all_others_were_tried, upstreams_already_tried_do_not_count_towards_the_floor, requests_spread_over_suspected_upstreams_of_similar_probability.

--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -63,7 +63,7 @@
     /// Minimum number of slots that must remain selectable in the service even if more of its
     /// upstreams are avoided.
     pub floor: u32,
-    /// The same minimum as a fraction of all slots of the service; the larger one applies.
+    /// The same minimum as a fraction of the slots of the service; the larger one applies.
     pub floor_share: f64,
     /// Whether the request may probe a suspected upstream, since it can be retried if it fails
     /// there.
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -20,32 +20,43 @@
 /// recovery.
 const PROBE_PROBABILITY: f64 = 0.2;
 
+/// Least probability of success, as a fraction of the highest one, with which a suspected upstream
+/// is selected while all are suspected.
+const SUCCESS_SHARE_MIN: f64 = 0.5;
+
 impl router::Pool {
-    /// Returns the indexes of the selectable upstreams: those not yet tried and not avoided and, if
-    /// these have fewer slots than the floor, the avoided ones whose back-off ends first.
+    /// Returns the indexes of the selectable upstreams not yet tried: those that are not avoided and,
+    /// if all of these in the service have fewer slots than the floor, the avoided ones whose
+    /// back-off ends first. If every one of them has been tried, the avoided ones are returned, so
+    /// that a request is not rejected while an upstream is left.
     pub(super) fn usable(&self, criteria: &router::Criteria<'_>) -> Vec<usize> {
-        let enumerated = || self.upstreams.values().enumerate();
-        let is_avoided = |upstream: &router::Upstream| upstream.backoff.is_active(criteria.now);
-        let mut usable: Vec<usize> =
-            enumerated().filter(|(_, u)| !is_avoided(u)).map(|(index, _)| index).collect();
-        let mut slots: u32 = usable.iter().map(|&i| self.upstreams[i].candidate.slots).sum();
-        let mut avoided: Vec<(usize, &router::Upstream)> =
-            enumerated().filter(|(_, u)| is_avoided(u)).collect();
-        avoided.sort_by_key(|(_, upstream)| upstream.backoff.ends_at());
-        let floor = self.floor(criteria);
-        for (index, upstream) in avoided {
-            if slots >= floor {
-                break;
-            }
-            slots += upstream.candidate.slots;
-            usable.push(index);
+        let is_avoided = |&index: &usize| self.upstreams[index].backoff.is_active(criteria.now);
+        let (mut avoided, mut usable): (Vec<usize>, Vec<usize>) =
+            (0..self.upstreams.len()).partition(is_avoided);
+        avoided.sort_by_key(|&index| self.upstreams[index].backoff.ends_at());
+        let mut slots = self.slots(&usable);
+        let floor = floor(criteria, slots + self.slots(&avoided));
+        let is_missing = |&index: &usize| {
+            let is_missing = slots < floor;
+            slots += self.upstreams[index].candidate.slots;
+            is_missing
+        };
+        usable.extend(avoided.iter().copied().take_while(is_missing));
+        let is_untried =
+            |&index: &usize| !criteria.tried.contains(&self.upstreams[index].candidate.id.address);
+        usable.retain(is_untried);
+        if usable.is_empty() {
+            usable.extend(avoided.into_iter().filter(is_untried));
         }
-        usable.retain(|&i| !criteria.tried.contains(&self.upstreams[i].candidate.id.address));
         usable
     }
 
+    fn slots(&self, indexes: &[usize]) -> u32 {
+        indexes.iter().map(|&index| self.upstreams[index].candidate.slots).sum()
+    }
+
     /// Excludes upstreams whose effective latency far exceeds the median, as long as the remaining
-    /// ones have enough slots for the floor.
+    /// ones have enough of the `usable` slots for the floor.
     pub(super) fn filter_slow(
         &self,
         usable: Vec<usize>,
@@ -54,12 +65,13 @@
         let median = self.median_latency(criteria.now);
         let is_fast = |&index: &usize| self.upstreams[index].is_fast(median, criteria.now);
         let fast: Vec<usize> = usable.iter().copied().filter(is_fast).collect();
-        let slots: u32 = fast.iter().map(|&i| self.upstreams[i].candidate.slots).sum();
-        if slots >= self.floor(criteria) { fast } else { usable }
+        let floor = floor(criteria, self.slots(&usable));
+        if self.slots(&fast) >= floor { fast } else { usable }
     }
 
     /// Filters upstreams by the failure probability that their sidecars report. Requests go to
-    /// unsuspected upstreams or, if there are none, to the least suspected one. A fraction of the
+    /// unsuspected upstreams or, if there are none, to those at least half as likely to succeed as
+    /// the least suspected one, so that no single upstream gets all of them. A fraction of the
     /// first attempts that may probe goes to suspected upstreams, whose sidecars need results to
     /// detect a recovery.
     pub(super) fn filter_suspected(
@@ -72,7 +84,7 @@
             let detector = &self.upstreams[index].detector;
             detector.as_ref().is_some_and(|detector| detector.is_suspected(criteria.now))
         };
-        let (suspected, healthy): (Vec<usize>, Vec<usize>) =
+        let (mut suspected, healthy): (Vec<usize>, Vec<usize>) =
             usable.into_iter().partition(is_suspected);
         let is_first = criteria.tried.is_empty();
         let can_probe = criteria.may_probe && is_first && !suspected.is_empty();
@@ -82,21 +94,13 @@
         if !healthy.is_empty() {
             return healthy;
         }
-        let failure_probability = |index: usize| {
+        let success_probability = |&index: &usize| {
             let detector = &self.upstreams[index].detector;
-            detector.as_ref().map_or(0.0, |detector| detector.failure_probability(criteria.now))
+            detector.as_ref().map_or(1.0, |d| 1.0 - d.failure_probability(criteria.now))
         };
-        let least_suspected = suspected
-            .into_iter()
-            .min_by(|&a, &b| failure_probability(a).total_cmp(&failure_probability(b)));
-        least_suspected.into_iter().collect()
-    }
-
-    /// Returns the minimum number of slots that must remain selectable in the service, at least 1.
-    pub(super) fn floor(&self, criteria: &router::Criteria<'_>) -> u32 {
-        let slots: u32 = self.upstreams.values().map(|upstream| upstream.candidate.slots).sum();
-        let share = (f64::from(slots) * criteria.floor_share).ceil() as u32;
-        criteria.floor.max(share).max(1)
+        let highest = suspected.iter().map(success_probability).fold(0.0, f64::max);
+        suspected.retain(|index| success_probability(index) >= highest * SUCCESS_SHARE_MIN);
+        suspected
     }
 
     pub(super) fn next_round_robin(&mut self, usable: &[usize]) -> Option<usize> {
@@ -151,6 +155,12 @@
     }
 }
 
+/// Returns the minimum number of slots, out of `slots`, that must remain selectable; at least 1.
+fn floor(criteria: &router::Criteria<'_>, slots: u32) -> u32 {
+    let share = (f64::from(slots) * criteria.floor_share).ceil() as u32;
+    criteria.floor.max(share).max(1)
+}
+
 fn sample_two(group: &[usize], rng: &mut impl Rng) -> impl Iterator<Item = usize> {
     let length = group.len();
     let first = (length > 0).then(|| rng.random_range(0..length.max(1)));
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -225,3 +225,51 @@
     let expected = Availability { selectable: 1, backed_off: 1, slow: 1, suspected: 1 };
     assert_eq!(availability, expected);
 }
+
+// Guards against rejecting a request because the upstreams already tried fill the floor.
+#[test]
+fn an_avoided_upstream_is_picked_once_all_others_were_tried() {
+    let mut router = router(&["a"; 4]);
+    let now = time::Instant::now();
+    let mut rng = SmallRng::seed_from_u64(7);
+    router.record_sidecar_failure("d3", now);
+    let tried: Vec<_> = (0..3).map(address).collect();
+    let criteria = Criteria { floor_share: 0.7, tried: &tried, ..criteria(now) };
+    let picked = router.pick(&criteria, &mut rng).map(|candidate| candidate.id.address);
+    assert_eq!(picked, Some(address(3)));
+    let criteria = Criteria { tried: &tried[..2], ..criteria };
+    for _ in 0..8 {
+        let picked = router.pick(&criteria, &mut rng).expect("an upstream is left");
+        assert_ne!(picked.id.address, address(3));
+    }
+}
+
+// Guards against sending every request to one upstream while all are suspected.
+#[test]
+fn requests_spread_over_suspected_upstreams_of_similar_probability() {
+    let mut router = router(&["a"; 4]);
+    let now = time::Instant::now();
+    for (n, probability) in [0.5, 0.55, 0.6, 0.95].into_iter().enumerate() {
+        router.record_failure_probability(&candidate(n, "").id, probability, now);
+    }
+    let criteria = Criteria { may_probe: false, ..criteria(now) };
+    let counts = count_picks(&mut router, 30, &criteria);
+    assert!(counts[..3].iter().all(|&count| count >= 5), "{counts:?}");
+    assert_eq!(counts[3], 0, "{counts:?}");
+}
+
+// Guards against retries at slow upstreams while fast ones are left.
+#[test]
+fn upstreams_already_tried_do_not_count_towards_the_floor() {
+    let mut router = router(&["a"; 8]);
+    let now = time::Instant::now();
+    for n in 0..8 {
+        let elapsed = time::Duration::from_millis(if n == 7 { 100 } else { 10 });
+        let result = AttemptResult::Responded { elapsed, is_error: false };
+        router.record_result(&candidate(n, "").id, result, now);
+    }
+    let tried: Vec<_> = (0..4).map(address).collect();
+    let criteria = Criteria { floor_share: 0.7, tried: &tried, ..criteria(now) };
+    let pool = &router.pools["s"];
+    assert_eq!(pool.filter_slow(pool.usable(&criteria), &criteria), [4, 5, 6]);
+}
