Try an upstream in back-off only after others were unavailable too

Seen by callers: since every avoided upstream is tried once the others have been, a request that all reachable sidecars reject for overload would also wait for connections to unreachable ones, up to 300 ms each, before it is rejected.

Avoided upstreams now follow only if the last sidecar was unavailable itself. Under overload the request is rejected at once. Test: router::tests::an_avoided_upstream_is_picked_once_all_others_were_tried.

--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -205,6 +205,21 @@
         }
     }
 
+    /// Returns whether the sidecar or its upstream could not be used, rather than having decided
+    /// against the request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::outcome;
+    /// assert!(outcome::Rejection::Draining.is_unavailable());
+    /// assert!(!outcome::Rejection::WaitTooLong.is_unavailable());
+    /// ```
+    pub fn is_unavailable(self) -> bool {
+        use Rejection::{Draining, Misdirected, NoUpstream, Unreachable};
+        matches!(self, Draining | Misdirected | NoUpstream | Unreachable)
+    }
+
     /// Returns the delay after which the caller may retry, or `None` if a retry cannot succeed.
     pub fn retry_after(&self) -> Option<time::Duration> {
         match self.status() {
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -68,6 +68,8 @@
     /// Whether the request may probe a suspected upstream, since it can be retried if it fails
     /// there.
     pub may_probe: bool,
+    /// Whether avoided upstreams may be selected if no other is left.
+    pub use_avoided: bool,
     /// Declared size of the request body in bytes; 0 if it is unknown.
     pub body_size: u64,
     /// Upstreams that earlier attempts of the request have used.
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -27,8 +27,8 @@
 impl router::Pool {
     /// Returns the indexes of the selectable upstreams not yet tried: those that are not avoided and,
     /// if all of these in the service have fewer slots than the floor, the avoided ones whose
-    /// back-off ends first. If every one of them has been tried, the avoided ones are returned, so
-    /// that a request is not rejected while an upstream is left.
+    /// back-off ends first. If every one of them has been tried and `criteria` allows it, the avoided
+    /// ones are returned.
     pub(super) fn usable(&self, criteria: &router::Criteria<'_>) -> Vec<usize> {
         let is_avoided = |&index: &usize| self.upstreams[index].backoff.is_active(criteria.now);
         let (mut avoided, mut usable): (Vec<usize>, Vec<usize>) =
@@ -45,7 +45,7 @@
         let is_untried =
             |&index: &usize| !criteria.tried.contains(&self.upstreams[index].candidate.id.address);
         usable.retain(is_untried);
-        if usable.is_empty() {
+        if usable.is_empty() && criteria.use_avoided {
             usable.extend(avoided.into_iter().filter(is_untried));
         }
         usable
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -39,6 +39,7 @@
         floor: 0,
         floor_share: 0.0,
         may_probe: true,
+        use_avoided: true,
         body_size: 0,
         tried: &[],
         now,
@@ -237,6 +238,8 @@
     let criteria = Criteria { floor_share: 0.7, tried: &tried, ..criteria(now) };
     let picked = router.pick(&criteria, &mut rng).map(|candidate| candidate.id.address);
     assert_eq!(picked, Some(address(3)));
+    let without_avoided = Criteria { use_avoided: false, ..criteria };
+    assert_eq!(router.pick(&without_avoided, &mut rng), None);
     let criteria = Criteria { tried: &tried[..2], ..criteria };
     for _ in 0..8 {
         let picked = router.pick(&criteria, &mut rng).expect("an upstream is left");
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -155,6 +155,13 @@
         }
     }
 
+    /// Returns whether the last sidecar could not be used, rather than being overloaded or suspecting
+    /// its upstream. Another one that was unavailable before is then worth a try, while under
+    /// overload the request is better rejected at once.
+    fn found_unavailable(&self) -> bool {
+        matches!(self.last_end, Some(retry::AttemptEnd::NotRun(last)) if last.is_unavailable())
+    }
+
     /// Makes the suspected upstreams eligible again, for attempts that tolerate the suspicion.
     ///
     /// Returns `false` if there are none, or if this was done before.
@@ -401,6 +408,7 @@
             floor: context.route_match.service.floor,
             floor_share: context.route_match.service.floor_share,
             may_probe: context.has_attempt_after_next(progress) && self.may_probe(context),
+            use_avoided: progress.found_unavailable(),
             body_size: context.body_size,
             tried: &tried,
             now: self.shared.now(),
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -145,13 +145,12 @@
             self.sidecar.policy_refresh.notify_one();
         }
         use outcome::Failure::{CallerGone, Deadline, Stalled};
-        use outcome::Rejection::{Draining, Misdirected, NoUpstream, Shed, Unreachable};
+        use outcome::Rejection::Shed;
         outstanding.set_result(match (report.end, report.elapsed) {
             (None, Some(elapsed)) => router::AttemptResult::Responded { elapsed, is_error },
-            (
-                Some(retry::AttemptEnd::NotRun(Draining | Misdirected | NoUpstream | Unreachable)),
-                _,
-            ) => router::AttemptResult::Unavailable,
+            (Some(retry::AttemptEnd::NotRun(rejection)), _) if rejection.is_unavailable() => {
+                router::AttemptResult::Unavailable
+            }
             (Some(retry::AttemptEnd::NotRun(Shed)), _) => router::AttemptResult::Failed,
             (Some(retry::AttemptEnd::NotRun(_)), _) => router::AttemptResult::Inconclusive,
             (Some(retry::AttemptEnd::MayHaveRun(CallerGone)), _) => {
