Take a response without an era for no news, and bound retries after a restore

Seen by callers: possible only. A response of the store without a valid era ended the wait as if the store had been restored, and the next wait ended at once, so the daemon called the store without a pause. The same would follow if the store answered with alternating eras, and a registry without eras would be looked up again and again.

Such a response now counts as one of the newest known era. Only a wait that a restore ends is repeated without a back-off.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -125,14 +125,16 @@
             let result = if newest > registered {
                 let delay = rand::rng().random_range(time::Duration::ZERO..RESTORE_SPREAD);
                 tokio::time::sleep(delay).await;
-                self.repair_registration(own).await.map(|epoch| registered = epoch)
+                let repaired = self.repair_registration(own).await;
+                // A registry that does not state its epoch is assumed to have the newest one.
+                repaired.map(|epoch| registered = if epoch == 0 { newest } else { epoch })
             } else if is_alone && checks.is_multiple_of(CHECKS_PER_LOOKUP) {
                 self.refresh_seeds(own).await.map(drop)
             } else {
                 Ok(())
             };
             if let Err(error) = result {
-                log::warn!(event = "directory", reason:% = error; "lookup of other daemons failed");
+                log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
             }
         }
     }
--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -97,7 +97,7 @@
                 }
                 continue;
             }
-            if result == Err(platform_log::PlatformError::Restored) {
+            if was_following && result == Err(platform_log::PlatformError::Restored) {
                 continue;
             }
             let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -81,7 +81,8 @@
 
 /// Time that gossip takes to spread a departure to nearly every ingress.
 const DEPARTURE_PROPAGATION: time::Duration = time::Duration::from_millis(500);
-/// Time between the readiness check starting to fail and the ingress closing: callers poll readiness once a second and stop using a daemon after two failures.
+/// Time between the readiness check starting to fail and the ingress closing: callers poll
+/// readiness once a second and stop using a daemon after two failures.
 const READINESS_GRACE: time::Duration = time::Duration::from_millis(2500);
 /// Largest fraction of the shutdown timeout during which the ingress accepts requests. The rest is
 /// left for the requests in flight.
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -29,7 +29,7 @@
         LogBack,
         /// The source of the policy was restored from an older copy.
         SourceRestored {
-            /// Epoch before; 0 if unknown.
+            /// Epoch before.
             from: ids::SourceEpoch,
             /// Epoch since.
             to: ids::SourceEpoch,
