Log the fingerprint of failed attempts and the crash of an upstream

Neither logs nor metrics showed whether two failed attempts were copies of the same request, or whether a backend server had ended rather than a connection been lost. Attempt lines now have a fingerprint, a keyed hash of method, host, target, organisation and body. After a lost connection the sidecar opens another one: if that is not accepted within 0.5 s, it logs upstream-crashed and counts it. An accepted connection goes to the pool.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod event;
 pub mod fair_queue;
+pub mod fingerprint;
 pub mod ids;
 pub mod load;
 pub mod member;
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -15,6 +15,7 @@
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::clock;
+use lynxmast_state::fingerprint;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
@@ -43,6 +44,7 @@
     peers: peers::Peers,
     own_daemon: ids::DaemonName,
     identity: Identity,
+    fingerprint_key: fingerprint::Key,
     /// Samples the successful requests that are logged.
     success_sampler: sampling::Sampler,
 }
@@ -64,6 +66,8 @@
     /// Route, service and organisation that the policy assigns to the request.
     route_match: compiled::RouteMatch,
     policy_version: ids::PolicyVersion,
+    /// Hash of the head for the request's fingerprint.
+    head_hash: u64,
     idempotent: bool,
     /// `Content-Length` of the request in bytes; 0 if there is none.
     body_size: u64,
@@ -79,6 +83,11 @@
         telemetry::id_text(self.head.headers.get(&scheme.exchange_id))
     }
 
+    /// Returns the request's fingerprint; `None` if too little of its body has arrived.
+    fn fingerprint(&self) -> Option<fingerprint::Fingerprint> {
+        self.body.body_hash().map(|body| fingerprint::Fingerprint { head: self.head_hash, body })
+    }
+
     /// Returns whether a sidecar may send the request a second time on its own. A retry budget that
     /// the whole fleet shares does not count such resends, so services with a shared budget do not
     /// allow them.
@@ -192,7 +201,8 @@
         let own_daemon = shared.membership().own_record().daemon.clone();
         let peers = peers::Peers::default();
         let success_sampler = sampling::Sampler::new(telemetry::SUCCESSES_SKIPPED);
-        Self { shared, sidecar, peers, own_daemon, identity, success_sampler }
+        let fingerprint_key = fingerprint::Key::from_secret(&identity.secret);
+        Self { shared, sidecar, peers, own_daemon, identity, fingerprint_key, success_sampler }
     }
 
     /// Serves one caller's request. Rejections and failures are returned as HTTP responses too.
@@ -269,12 +279,21 @@
         hop::strip_internal_headers(&mut head.headers);
         hop::strip_hop_by_hop_headers(&mut head.headers);
         head::normalise(&mut head, &parsed);
-        let body = replay::ReplayBuffer::new(incoming, route_match.service.stall);
+        let head_hash = self.fingerprint_key.hash_head(&fingerprint::Head {
+            method: head.method.as_str(),
+            host: &parsed.host,
+            target: head.uri.path_and_query().map_or("", |target| target.as_str()),
+            organisation: &route_match.organisation,
+            body_size,
+        });
+        let stall = route_match.service.stall;
+        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
         let policy_version = policy.version;
         let (arrived, deadline) = (now, now + timeout);
         Ok(RequestContext {
             route_match,
             policy_version,
+            head_hash,
             idempotent,
             body_size,
             head,
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -98,9 +98,11 @@
         if is_success(outcome, status) {
             return;
         }
+        let fingerprint = context.fingerprint();
         log::info!(
             event = "attempt",
             id = context.id(&self.identity.header_scheme),
+            fingerprint:% = fingerprint.map_or_else(String::new, |known| known.to_string()),
             upstream:% = upstream,
             gate:% = sidecar,
             outcome = outcome.as_str(),
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -210,7 +210,8 @@
         });
     }
 
-    fn add_idle(&self, connection: Connection) {
+    /// Adds a connection that was opened without a request.
+    pub fn add_idle(&self, connection: Connection) {
         self.lock().push(IdleConnection { connection, since: self.clock.now() });
     }
 
--- a/crates/transport/src/replay.rs
+++ b/crates/transport/src/replay.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body::Body;
 use hyper::body;
+use lynxmast_state::fingerprint;
 
 use crate::body_error;
 use crate::stall_timeout;
@@ -37,6 +38,7 @@
     /// Number of the attempt that may read from the caller.
     reader: u64,
     size_hint: body::SizeHint,
+    hasher: fingerprint::BodyHasher,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,8 +64,13 @@
 }
 
 impl ReplayBuffer {
-    /// Wraps a caller's body; it fails after `stall_timeout` without progress.
-    pub fn new(incoming: body::Incoming, stall_timeout: time::Duration) -> Self {
+    /// Wraps a caller's body, which is hashed with `key` as it arrives; it fails after
+    /// `stall_timeout` without progress.
+    pub fn new(
+        incoming: body::Incoming,
+        stall_timeout: time::Duration,
+        key: fingerprint::Key,
+    ) -> Self {
         let state = if incoming.is_end_stream() { ReadState::Complete } else { ReadState::Reading };
         let size_hint = incoming.size_hint();
         let inner = Inner {
@@ -74,6 +81,7 @@
             state,
             reader: 0,
             size_hint,
+            hasher: fingerprint::BodyHasher::new(key),
         };
         Self { inner: sync::Arc::new(sync::Mutex::new(inner)) }
     }
@@ -96,6 +104,14 @@
         lock(&self.inner).state == ReadState::Complete
     }
 
+    /// Returns the hash of the body for the request's fingerprint; `None` if too little of the body
+    /// has arrived.
+    pub fn body_hash(&self) -> Option<u64> {
+        let inner = lock(&self.inner);
+        let is_known = inner.state == ReadState::Complete || inner.hasher.is_full();
+        is_known.then(|| inner.hasher.hash())
+    }
+
     /// Returns whether the caller failed to send the whole body.
     pub fn has_failed(&self) -> bool {
         matches!(lock(&self.inner).state, ReadState::Failed(_))
@@ -128,6 +144,7 @@
                 }
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    self.hasher.update(&data);
                     self.buffer(&data);
                     return task::Poll::Ready(Some(Ok(data)));
                 }
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -181,6 +181,9 @@
         let no_body = *request.method() == http::Method::HEAD;
         let mut recorder = result_recorder::ResultRecorder::start(upstream);
         let result = self.await_response(envelope, &slot, connection, request, deadline).await;
+        if matches!(result, Err(retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost))) {
+            upstream.find_crash().await;
+        }
         let (response, mut connection) = result.inspect_err(|end| recorder.record_end(*end))?;
         observed.elapsed = Some(self.shared.now().saturating_duration_since(started));
         let checked = forwarding::check_response(&response, &connection, &headers, no_body);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -37,6 +37,17 @@
     retryable: atomic::AtomicU32,
     /// Requests in flight that have not been counted as overdue.
     pending: sync::Mutex<PendingRequests>,
+    /// Last check whether the backend server still runs.
+    liveness: tokio::sync::Mutex<Option<LivenessCheck>>,
+    /// Incarnation that was last found to have crashed; 0 if none was.
+    crashed: sync::Mutex<ids::Incarnation>,
+}
+
+/// Result of connecting to a backend server in order to find out whether it still runs.
+#[derive(Debug, Clone, Copy)]
+struct LivenessCheck {
+    started: time::Instant,
+    is_running: bool,
 }
 
 #[derive(Debug, Default)]
@@ -52,6 +63,9 @@
 /// Shortest time after which a request without a response counts as failed.
 const OVERDUE_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(500);
 
+/// Time within which a running backend server on the same VM accepts a connection.
+const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// Data of the backend server's last announcement.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Lease {
@@ -108,6 +122,8 @@
             retries: Default::default(),
             retryable: Default::default(),
             pending: Default::default(),
+            liveness: Default::default(),
+            crashed: Default::default(),
         }
     }
 
@@ -227,6 +243,51 @@
         }
     }
 
+    /// Finds out whether the backend server has crashed, after a connection to it was lost. Returns
+    /// the incarnation that crashed, or `None` if it still runs or has announced its departure.
+    pub async fn find_crash(&self) -> Option<ids::Incarnation> {
+        let incarnation = self.lease().incarnation;
+        if self.is_draining() || self.is_running().await {
+            return None;
+        }
+        let previous = std::mem::replace(&mut *lock(&self.crashed), incarnation);
+        if previous != incarnation {
+            let in_flight = lock(&self.pending).requests.len();
+            metrics::counter!("lynxmast_upstream_crashes_total").increment(1);
+            log::warn!(
+                event = "upstream-crashed",
+                upstream:% = self.id,
+                incarnation,
+                in_flight;
+                "upstream ended without announcing its departure"
+            );
+        }
+        Some(incarnation)
+    }
+
+    /// Returns whether the backend server accepts connections. Requests that ask at the same time
+    /// share one connection, which is kept for the next request.
+    async fn is_running(&self) -> bool {
+        let asked = self.clock.now();
+        let mut last = self.liveness.lock().await;
+        if let Some(check) = last.filter(|check| check.started >= asked) {
+            return check.is_running;
+        }
+        let started = self.clock.now();
+        let connecting = tokio::time::timeout(LIVENESS_TIMEOUT, self.pool.connect());
+        let is_running = match connecting.await {
+            Ok(Ok(connection)) => {
+                self.pool.add_idle(connection);
+                true
+            }
+            // The connections in use prove nothing, but neither does their number.
+            Ok(Err(outcome::Rejection::QueueFull)) => true,
+            Ok(Err(_)) | Err(_) => false,
+        };
+        *last = Some(LivenessCheck { started, is_running });
+        is_running
+    }
+
     /// Returns whether the failure probability of the upstream is acceptable for a request with
     /// this risk tolerance.
     pub fn allows(&self, risk: outlier::RiskTolerance, now: time::Instant) -> bool {
