Add failing tests of requests that crash the upstreams that run them

Backend servers that crash on a marked request, closing their connections or falling silent, and restart 2 s later with a new incarnation. Copies of the request arrive four times a second at all six daemons.

--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -24,6 +24,8 @@
 use tokio::net as tcp;
 use tokio::task as tasks;
 
+use crate::crashing_backend;
+
 /// Fake backend server, running until it is dropped.
 #[derive(Debug)]
 pub struct Backend {
@@ -54,6 +56,8 @@
     pub echoes_ids: bool,
     /// Size of a response body in bytes; at least the tag and a line feed.
     pub body_size: usize,
+    /// Requests that crash the server once `service_time` has passed.
+    pub crash_on: Option<crashing_backend::Trigger>,
 }
 
 impl Default for Behaviour {
@@ -66,6 +70,7 @@
             hang_rate: 0.0,
             echoes_ids: true,
             body_size: 256,
+            crash_on: None,
         }
     }
 }
@@ -80,6 +85,12 @@
     connections: atomic::AtomicU64,
     /// Number of runs of each request, by path and tag.
     tag_runs: sync::Mutex<IndexMap<String, u32>>,
+    /// Notified when a request that crashes the server has run.
+    crashed: tokio::sync::Notify,
+    /// Notified when the listener is to be closed.
+    silenced: tokio::sync::Notify,
+    /// Whether no further response is sent.
+    is_silent: atomic::AtomicBool,
 }
 
 /// Header with the unique tag of a request; the response body repeats the tag.
@@ -204,6 +215,20 @@
         self.server.abort();
     }
 
+    /// Waits until a request has crashed the server. The caller carries the crash out.
+    pub async fn crashed(&self) {
+        self.state.crashed.notified().await;
+    }
+
+    /// Simulates a crash that closes nothing: open connections stay silent, new ones are not
+    /// established while the returned guard exists.
+    pub fn silence(&self) -> SilentPort {
+        self.stop_heartbeat();
+        self.state.is_silent.store(true, atomic::Ordering::SeqCst);
+        self.state.silenced.notify_one();
+        SilentPort(tokio::spawn(occupy(self.address)).abort_handle())
+    }
+
     /// Changes the behaviour for requests that arrive from now on.
     pub fn reconfigure(&self, change: impl FnOnce(&mut Behaviour)) {
         change(&mut lock(&self.state.behaviour));
@@ -252,9 +277,43 @@
     }
 }
 
+/// Keeps the port of a silent backend server occupied.
+#[derive(Debug)]
+pub struct SilentPort(tasks::AbortHandle);
+
+impl Drop for SilentPort {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Listens at `address` with a full queue of new connections, so that the kernel does not respond to
+/// further ones.
+async fn occupy(address: net::SocketAddr) {
+    let listener = loop {
+        let socket = tcp::TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseaddr(true).expect("an option");
+        match socket.bind(address).and_then(|()| socket.listen(1)) {
+            Ok(listener) => break listener,
+            Err(_) => tokio::time::sleep(time::Duration::from_millis(1)).await,
+        }
+    };
+    let filling = (0..4).map(|_| tcp::TcpStream::connect(address));
+    let _filled = futures::future::join_all(filling).await;
+    drop(listener);
+}
+
 async fn serve_connections(listener: tcp::TcpListener, state: sync::Arc<State>) {
     let mut connections = tasks::JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.silenced.notified() => {
+                drop(listener);
+                return std::future::pending().await;
+            }
+        };
+        let Ok((stream, _)) = accepted else { return };
         let _ = stream.set_nodelay(true);
         state.connections.fetch_add(1, atomic::Ordering::SeqCst);
         let state = state.clone();
@@ -277,16 +336,24 @@
         let (head, mut incoming) = request.into_parts();
         let tag = head.headers.get(TAG).and_then(|tag| tag.to_str().ok()).unwrap_or_default();
         *lock(&self.tag_runs).entry(format!("{} {tag}", head.uri.path())).or_default() += 1;
+        let mut received = Vec::new();
         while let Some(frame) = incoming.frame().await {
-            let data = frame.ok().and_then(|frame| frame.into_data().ok());
-            let size = data.map_or(0, |data| data.len() as u64);
-            self.received_bytes.fetch_add(size, atomic::Ordering::SeqCst);
+            let data = frame.ok().and_then(|frame| frame.into_data().ok()).unwrap_or_default();
+            self.received_bytes.fetch_add(data.len() as u64, atomic::Ordering::SeqCst);
+            if behaviour.crash_on.is_some() {
+                received.extend_from_slice(&data);
+            }
         }
         let service_time = behaviour.service_time.mul_f64(behaviour.slowdown);
         if !service_time.is_zero() {
             tokio::time::sleep(service_time).await;
         }
-        if rand::rng().random_bool(behaviour.hang_rate) {
+        let crashes = behaviour.crash_on.is_some_and(|on| on.matches(head.uri.path(), &received));
+        if crashes {
+            self.crashed.notify_one();
+        }
+        let is_silent = crashes || self.is_silent.load(atomic::Ordering::SeqCst);
+        if is_silent || rand::rng().random_bool(behaviour.hang_rate) {
             std::future::pending::<()>().await;
         }
         let bytes = response_body(tag, behaviour.body_size);
--- /dev/null
+++ b/crates/testing/src/crashing_backend.rs
@@ -0,0 +1,134 @@
+//! Backend server that crashes when it runs certain requests, and restarts at its address.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use tokio::task as tasks;
+
+use crate::backend;
+
+/// Backend server with a supervisor that restarts it; runs until it is dropped.
+#[derive(Debug)]
+pub struct CrashingBackend {
+    /// Address that each start of the server listens on.
+    pub address: net::SocketAddr,
+    crashes: sync::Arc<sync::Mutex<Vec<time::Instant>>>,
+    restart: sync::Arc<tokio::sync::Notify>,
+    supervisor: tasks::AbortHandle,
+}
+
+/// When a backend server crashes, and how.
+#[derive(Debug, Clone)]
+pub struct CrashPlan {
+    /// Requests with this path, or with this body, crash the server that runs them.
+    pub trigger: Trigger,
+    /// Whether the server stops responding without closing its connections or its port.
+    pub is_silent: bool,
+    /// Time from a crash to the next start.
+    pub downtime: time::Duration,
+}
+
+/// Time until the port of an aborted server is free again.
+const PORT_RELEASE_TIME: time::Duration = time::Duration::from_millis(50);
+
+/// Requests that crash the server.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Trigger {
+    /// Requests to this path.
+    Path(&'static str),
+    /// Requests with this body.
+    Body(Bytes),
+}
+
+impl Trigger {
+    /// Returns whether a request with this path and body crashes the server.
+    pub fn matches(&self, path: &str, body: &[u8]) -> bool {
+        match self {
+            Trigger::Path(trigger) => path == *trigger,
+            Trigger::Body(trigger) => body == trigger,
+        }
+    }
+}
+
+impl CrashingBackend {
+    /// Starts a backend server of `service` and keeps it announced to the daemon at
+    /// `announce_address`. Call [`crate::fleet::Fleet::await_upstream`] to wait until it is known.
+    pub async fn start(
+        service: &str,
+        behaviour: backend::Behaviour,
+        plan: CrashPlan,
+        announce_address: net::SocketAddr,
+    ) -> Self {
+        let behaviour = backend::Behaviour { crash_on: Some(plan.trigger.clone()), ..behaviour };
+        let first = backend::Backend::start(service, behaviour.clone()).await;
+        let address = first.address;
+        let crashes = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let restart = sync::Arc::new(tokio::sync::Notify::new());
+        let supervisor = Supervisor {
+            service: service.to_owned(),
+            behaviour,
+            plan,
+            announce_address,
+            crashes: crashes.clone(),
+            restart: restart.clone(),
+        };
+        let supervisor = tokio::spawn(supervisor.run(first)).abort_handle();
+        Self { address, crashes, restart, supervisor }
+    }
+
+    /// Returns the time of each crash that a request has caused.
+    pub fn crashes(&self) -> Vec<time::Instant> {
+        lock(&self.crashes).clone()
+    }
+
+    /// Crashes the server for a reason that has nothing to do with its requests.
+    pub fn crash(&self) {
+        self.restart.notify_one();
+    }
+}
+
+impl Drop for CrashingBackend {
+    fn drop(&mut self) {
+        self.supervisor.abort();
+    }
+}
+
+struct Supervisor {
+    service: String,
+    behaviour: backend::Behaviour,
+    plan: CrashPlan,
+    announce_address: net::SocketAddr,
+    crashes: sync::Arc<sync::Mutex<Vec<time::Instant>>>,
+    restart: sync::Arc<tokio::sync::Notify>,
+}
+
+impl Supervisor {
+    async fn run(self, first: backend::Backend) {
+        let address = first.address;
+        let mut backend = first;
+        for incarnation in 2.. {
+            backend.keep_announcing(self.announce_address);
+            tokio::select! {
+                () = backend.crashed() => lock(&self.crashes).push(time::Instant::now()),
+                () = self.restart.notified() => {}
+            }
+            let silent = self.plan.is_silent.then(|| backend.silence());
+            if silent.is_none() {
+                backend.crash();
+            }
+            tokio::time::sleep(self.plan.downtime).await;
+            backend.crash();
+            drop(silent);
+            tokio::time::sleep(PORT_RELEASE_TIME).await;
+            let behaviour = self.behaviour.clone();
+            backend =
+                backend::Backend::start_at(&self.service, behaviour, address, incarnation).await;
+        }
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/testing/tests/crashing_requests.rs
@@ -0,0 +1,148 @@
+//! Requests that crash the upstreams that run them are recognised and stopped in the whole fleet,
+//! and requests that were merely running beside a crash are not.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use lynxmast_testing::backend;
+use lynxmast_testing::caller;
+use lynxmast_testing::crashing_backend;
+use lynxmast_testing::fleet;
+
+const SECTION: &str = "
+team = 't'
+[[service]]
+name = 's'
+ramp = '0s'
+hedge = false
+[[route]]
+service = 's'
+host = 'h.example'
+path = '/'
+idempotent = true
+deadline = '2s'
+[[route]]
+service = 's'
+host = 'h.example'
+path = '/book'
+deadline = '2s'
+";
+
+const DAEMONS: usize = 6;
+const SERVICE_TIME: time::Duration = time::Duration::from_millis(20);
+const DOWNTIME: time::Duration = time::Duration::from_secs(2);
+/// Time after which every daemon acts on what any daemon knows.
+const STABLE: time::Duration = time::Duration::from_secs(3);
+const COPY_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+struct Setup {
+    fleet: fleet::Fleet,
+    backends: Vec<crashing_backend::CrashingBackend>,
+}
+
+impl Setup {
+    async fn start(trigger: crashing_backend::Trigger, is_silent: bool) -> Self {
+        let domains = ["a", "b", "c"].repeat(DAEMONS / 3);
+        let fleet = fleet::Fleet::start(&domains, &[SECTION]).await;
+        let plan = crashing_backend::CrashPlan { trigger, is_silent, downtime: DOWNTIME };
+        let behaviour = backend::Behaviour { service_time: SERVICE_TIME, ..Default::default() };
+        let mut backends = Vec::new();
+        for daemon in &fleet.daemons {
+            let (behaviour, plan, beside) = (behaviour.clone(), plan.clone(), daemon.listen.beside);
+            let backend =
+                crashing_backend::CrashingBackend::start("s", behaviour, plan, beside).await;
+            fleet.await_upstream("s", backend.address, true).await;
+            backends.push(backend);
+        }
+        Self { fleet, backends }
+    }
+
+    fn ingress(&self, number: usize) -> net::SocketAddr {
+        self.fleet.ingress_address(number % DAEMONS)
+    }
+
+    /// Returns the times of all crashes that requests have caused, in order.
+    fn crashes(&self) -> Vec<time::Instant> {
+        let mut crashes: Vec<_> = self.backends.iter().flat_map(|b| b.crashes()).collect();
+        crashes.sort();
+        crashes
+    }
+
+    /// Sends copies of a request at all daemons in turn, and returns the responses.
+    async fn send_copies(
+        &self,
+        request: &caller::Request,
+        duration: time::Duration,
+    ) -> Vec<caller::Response> {
+        let mut copies = tokio::task::JoinSet::new();
+        let started = time::Instant::now();
+        for number in 0.. {
+            if started.elapsed() >= duration {
+                break;
+            }
+            let (ingress, request) = (self.ingress(number), request.clone());
+            copies.spawn(async move { caller::Caller::new(ingress).send(&request).await });
+            tokio::time::sleep(COPY_INTERVAL).await;
+        }
+        copies.join_all().await
+    }
+}
+
+fn request(method: &'static str, path: &'static str, body: &'static [u8]) -> caller::Request {
+    caller::Request {
+        method,
+        host: "h.example",
+        path,
+        body: Bytes::from_static(body),
+        ..Default::default()
+    }
+}
+
+/// Returns the crashes later than [`STABLE`] after the third one.
+fn late_crashes(crashes: &[time::Instant]) -> usize {
+    crashes.get(2).map_or(0, |third| crashes.iter().filter(|at| **at > *third + STABLE).count())
+}
+
+// Guards against copies of a crashing request that reach one upstream after the other.
+#[test_case::test_case(request("GET", "/crash", b""), crashing_backend::Trigger::Path("/crash"), false; "idempotent")]
+#[test_case::test_case(request("POST", "/book", b"crash"), crashing_backend::Trigger::Body(Bytes::from_static(b"crash")), false; "by its body")]
+#[test_case::test_case(request("GET", "/crash", b""), crashing_backend::Trigger::Path("/crash"), true; "silent crash")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_upstreams_is_stopped_in_the_whole_fleet(
+    crashing: caller::Request,
+    trigger: crashing_backend::Trigger,
+    is_silent: bool,
+) {
+    let setup = Setup::start(trigger, is_silent).await;
+    let others_path = crashing.path;
+    let done = sync::atomic::AtomicBool::new(false);
+    let send_others = async {
+        let (mut served, mut sent) = (0, 0);
+        while !done.load(sync::atomic::Ordering::Relaxed) {
+            let path = if others_path == "/book" { "/book" } else { "/other" };
+            let other = request(crashing.method, path, b"sound");
+            let caller = caller::Caller::new(setup.ingress(sent));
+            served += usize::from(caller.send(&other).await.is_success());
+            sent += 1;
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+        (served, sent)
+    };
+    let send_copies = async {
+        let responses = setup.send_copies(&crashing, time::Duration::from_secs(12)).await;
+        done.store(true, sync::atomic::Ordering::Relaxed);
+        responses
+    };
+    let (responses, (served, sent)) = tokio::join!(send_copies, send_others);
+    let crashes = setup.crashes();
+    let outcomes: Vec<_> = responses.iter().map(|r| (r.status, r.reason.as_str())).collect();
+    println!(
+        "{} crashes, {} late, {served} of {sent} others served",
+        crashes.len(),
+        late_crashes(&crashes)
+    );
+    assert_eq!(late_crashes(&crashes), 0, "{} crashes, {outcomes:?}", crashes.len());
+    assert!(served * 100 >= sent * 90, "{served} of {sent} other requests served");
+}
