Quarantine requests that crash the upstreams that run them

Callers saw 502 and 503 on all routes of a service while copies of one request were sent to its upstreams: each copy ended one, or as many as its route allowed attempts.

Cause: a lost connection was decided with what was known of that attempt alone. No daemon recognised a copy, counted the upstreams that had crashed under it, or told the others.

Now the sidecar tells a crash from a lost connection: the upstream accepts no new connection although it has not announced its departure. The ingress keeps the fingerprint of the request with each crashed start of an upstream and sends it to its peers. Two crashes quarantine the request: copies get 503 (not run) at every ingress. A response clears a request, as a request that crashes its upstreams gets none. The records are sets that only grow, so they merge in any order; a digest in each exchange finds daemons that missed some.

--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -93,8 +93,11 @@
             return None;
         }
         let now = self.shared.now();
-        let (response, changes) = self.shared.membership().respond(&message, now);
+        let (mut response, changes) = self.shared.membership().respond(&message, now);
         gossip::apply_changes(&self.shared, changes);
+        gossip::merge_suspects(&self.shared, &message.suspects);
+        let is_full = message.requests_all;
+        response.suspects = self.shared.quarantine().reply(&message.suspects, is_full, now);
         Some(response)
     }
 
--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -6,6 +6,7 @@
 use lynxmast_state::clock;
 use lynxmast_state::event;
 use lynxmast_state::membership;
+use lynxmast_state::quarantine;
 use lynxmast_state::shared_state;
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -42,6 +43,9 @@
             if ticks.is_multiple_of(membership::TICKS_PER_HEARTBEAT) {
                 gossip.heartbeat();
             }
+            if gossip.shared.quarantine().has_pending() {
+                gossip.shared.membership().expedite();
+            }
             let fanout = gossip.shared.membership().fanout(ticks);
             if fanout > 0 {
                 gossip.start_round(fanout);
@@ -58,6 +62,7 @@
         let changes = membership.expire(now);
         drop(membership);
         apply_changes(&self.shared, changes);
+        self.shared.quarantine().expire(now);
     }
 
     fn start_round(self: &sync::Arc<Self>, fanout: usize) {
@@ -80,7 +85,8 @@
     }
 
     async fn exchange(&self, partner: net::SocketAddr) {
-        let opening = self.shared.membership().opening_message();
+        let mut opening = self.shared.membership().opening_message();
+        opening.suspects = self.shared.quarantine().opening_update(self.shared.now());
         let Ok(response) = self.client.exchange(partner, opening).await else {
             metrics::counter!("lynxmast_exchanges_failed_total").increment(1);
             return;
@@ -88,6 +94,7 @@
         let now = self.shared.now();
         let (requested, changes) = self.shared.membership().apply(&response, now);
         apply_changes(&self.shared, changes);
+        merge_suspects(&self.shared, &response.suspects);
         if !requested.records.is_empty() {
             // Sends the records that the partner requested. Its response is ignored, since it
             // contains nothing new.
@@ -96,6 +103,18 @@
     }
 }
 
+/// Merges requests that another daemon suspects of crashing upstreams, and records in the timeline
+/// which ones are quarantined by that.
+pub fn merge_suspects<C: clock::Clock>(
+    shared: &shared_state::SharedState<C>,
+    update: &quarantine::SuspectUpdate,
+) {
+    let quarantined = shared.quarantine().merge(update, shared.now());
+    for fingerprint in quarantined {
+        shared.record_event(event::Kind::RequestQuarantined { fingerprint });
+    }
+}
+
 /// Records membership changes in the timeline and updates the router's serving upstreams.
 pub fn apply_changes<C: clock::Clock>(
     shared: &shared_state::SharedState<C>,
--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -122,6 +122,9 @@
         ("not-run", "doubtful") => {
             "every remaining upstream was suspected, and the request is not idempotent".to_owned()
         }
+        ("not-run", "quarantined") => {
+            "upstreams had crashed while they ran copies of it, so it is quarantined".to_owned()
+        }
         ("not-run", "no-upstream" | "unreachable") => {
             "no upstream of the service could be reached from this daemon".to_owned()
         }
@@ -139,7 +142,9 @@
         (outcome, reason) => format!("{outcome} {reason}"),
     };
     let mut parts = vec![description];
-    if end.value("over_budget") == "true" {
+    if end.value("quarantined") == "true" {
+        parts.push("it was not retried because it crashes upstreams".to_owned());
+    } else if end.value("over_budget") == "true" {
         parts.push("it was not retried because the retry budget was empty".to_owned());
     } else if outcome != "not-run" && attempts <= 1 {
         parts.push("it was not retried: it is not idempotent, or no time was left".to_owned());
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -91,6 +91,13 @@
         self.shared.is_current() && !self.sidecar.is_shutting_down() && self.has_upstreams()
     }
 
+    /// Sets the gauges of the requests that are suspected of crashing upstreams.
+    fn record_suspects(&self) {
+        let (suspected, quarantined) = self.shared.quarantine().counts(self.shared.now());
+        metrics::gauge!("lynxmast_suspected_requests").set(suspected as f64);
+        metrics::gauge!("lynxmast_quarantined_requests").set(quarantined as f64);
+    }
+
     /// Sets the gauges of the upstreams that the ingress selects or leaves out.
     fn record_availability(&self) {
         let router = self.shared.router();
@@ -118,6 +125,7 @@
             api::POLICY_PATH => (ok, client::json(&self.policy())),
             api::METRICS_PATH => {
                 self.record_availability();
+                self.record_suspects();
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
                 (ok, Bytes::from(text.unwrap_or_default()))
             }
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -137,6 +137,8 @@
     /// Whether an error response follows the failure of a call that the backend server itself
     /// made, so that the fault is probably not in the backend server.
     pub dependency_failed: bool,
+    /// Incarnation of the upstream that crashed while it ran the request.
+    pub crashed: Option<ids::Incarnation>,
     /// Version of the policy that is active at the sidecar.
     pub policy: ids::PolicyVersion,
 }
@@ -160,6 +162,9 @@
         if self.dependency_failed {
             put(headers, header::DEPENDENCY_FAILED, "true");
         }
+        if let Some(incarnation) = self.crashed {
+            put(headers, header::CRASHED, &incarnation.to_string());
+        }
     }
 
     /// Reads a report from a response's headers.
@@ -190,6 +195,7 @@
             elapsed,
             failure_percent,
             dependency_failed,
+            crashed: single(headers, header::CRASHED),
             policy: get(headers, header::POLICY_VERSION)?,
         })
     }
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -17,6 +17,7 @@
         elapsed,
         failure_percent: Some(40),
         dependency_failed: true,
+        crashed: Some(3),
         policy: 9,
     };
     let mut headers = HeaderMap::new();
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -48,6 +48,8 @@
 /// Sidecar to ingress: present if an error response follows the failure of a call that the
 /// backend server itself made.
 pub const DEPENDENCY_FAILED: &str = "lynxmast-of-call";
+/// Sidecar to ingress: incarnation of the upstream that crashed while it ran the request.
+pub const CRASHED: &str = "lynxmast-crashed";
 /// Sidecar to ingress: load of the upstream, in the format of `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Sidecar to ingress: microseconds from forwarding the request to receiving the response head.
--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time;
 
+use crate::fingerprint;
 use crate::ids;
 
 value! {
@@ -64,6 +65,12 @@
             /// The upstream.
             upstream: ids::UpstreamId,
         },
+        /// Copies of a request are rejected from now on, as upstreams have crashed while they ran
+        /// it.
+        RequestQuarantined {
+            /// Fingerprint of the request.
+            fingerprint: fingerprint::Fingerprint,
+        },
         /// This ingress backs off from an upstream that it cannot use.
         UpstreamAvoided {
             /// The upstream.
@@ -121,6 +128,7 @@
             Kind::UpstreamServing { .. } => "upstream-serving",
             Kind::UpstreamDraining { .. } => "upstream-draining",
             Kind::UpstreamGone { .. } => "upstream-gone",
+            Kind::RequestQuarantined { .. } => "request-quarantined",
             Kind::UpstreamAvoided { .. } => "upstream-avoided",
             Kind::ConnectionReplaced { .. } => "connection-replaced",
             Kind::Resumed { .. } => "resumed",
@@ -160,6 +168,9 @@
             Kind::UpstreamServing { upstream } => write!(f, "upstream {upstream} accepts requests"),
             Kind::UpstreamDraining { upstream } => write!(f, "upstream {upstream} is draining"),
             Kind::UpstreamGone { upstream } => write!(f, "upstream {upstream} was removed"),
+            Kind::RequestQuarantined { fingerprint } => {
+                write!(f, "request {fingerprint} crashes upstreams and is rejected")
+            }
             Kind::UpstreamAvoided { upstream } => write!(f, "upstream {upstream} is avoided"),
             Kind::ConnectionReplaced { peer } => {
                 write!(f, "unresponsive connection to {peer} replaced")
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -11,6 +11,7 @@
 
 use crate::ids;
 use crate::member;
+use crate::quarantine;
 use crate::read_turn;
 use crate::router;
 
@@ -31,6 +32,9 @@
         /// Whether `records` holds every record of the sender.
         #[serde(rename = "is-all")]
         pub is_full: bool,
+        /// Requests that are suspected of crashing upstreams.
+        #[serde(default)]
+        pub suspects: quarantine::SuspectUpdate,
     }
 }
 
@@ -235,6 +239,11 @@
         }
     }
 
+    /// Makes the next tick contact [`URGENT_FANOUT`] peers, for news that is not part of a record.
+    pub fn expedite(&mut self) {
+        self.urgent_ticks = self.urgent_ticks.max(1);
+    }
+
     /// Marks the membership as synchronised and drops all pending updates, as if they had been
     /// sent.
     pub fn mark_synced(&mut self) {
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -6,6 +6,8 @@
 use std::fmt;
 use std::time;
 
+use crate::quarantine;
+
 value! {
     /// Reason why a request was rejected. Every variant proves that the request was not run.
     #[derive(Copy, Eq, Hash)]
@@ -51,6 +53,8 @@
         /// failed there.
         #[serde(rename = "doubtful")]
         Suspected,
+        /// Upstreams have crashed while they ran copies of the request.
+        Quarantined,
     }
 
     /// Reason why a request that may have been run has no complete response.
@@ -131,7 +135,7 @@
 
 impl Rejection {
     /// All variants, for decoding and tests.
-    pub const ALL: [Rejection; 18] = [
+    pub const ALL: [Rejection; 19] = [
         Rejection::BadRequest,
         Rejection::UnknownKey,
         Rejection::Forbidden,
@@ -150,6 +154,7 @@
         Rejection::Misdirected,
         Rejection::BodyTooLarge,
         Rejection::Suspected,
+        Rejection::Quarantined,
     ];
 
     /// Returns the value of the reason header.
@@ -173,6 +178,7 @@
             Rejection::Misdirected => "misdirected",
             Rejection::BodyTooLarge => "body-too-large",
             Rejection::Suspected => "doubtful",
+            Rejection::Quarantined => "quarantined",
         }
     }
 
@@ -225,6 +231,7 @@
         match self.status() {
             429 => Some(RETRY_AFTER_OVERLOAD),
             503 if self.is_overload() => Some(RETRY_AFTER_OVERLOAD),
+            503 if *self == Rejection::Quarantined => Some(quarantine::QUARANTINE_DURATION),
             503 => Some(RETRY_AFTER_TRANSIENT),
             _ => None,
         }
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
-//! Lock order: `policy`, `membership`, `router`, `limiter`, `allocator`, `traffic`, `events`. A
+//! Lock order: `policy`, `membership`, `router`, `limiter`, `allocator`, `traffic`, `quarantine`,
+//! `events`. A
 //! task that holds one lock acquires only later ones. No lock is held across an await point. The
 //! admission state is private to the sidecar and never locked together with these.
 
@@ -18,6 +19,7 @@
 use crate::policy::compiled;
 use crate::policy::document;
 use crate::policy::reducer;
+use crate::quarantine;
 use crate::rate_limit;
 use crate::retry;
 use crate::router;
@@ -36,6 +38,7 @@
     limiter: sync::Mutex<rate_limit::LocalLimiter>,
     allocator: sync::Mutex<rate_limit::Allocator>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
+    quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router was last synchronised with.
     router_generation: atomic::AtomicU64,
@@ -69,6 +72,7 @@
             limiter: Default::default(),
             allocator: Default::default(),
             traffic: Default::default(),
+            quarantine: Default::default(),
             events: sync::Mutex::new(ring),
             router_generation: Default::default(),
             is_current: Default::default(),
@@ -149,6 +153,11 @@
         lock(&self.allocator)
     }
 
+    /// Locks the requests that are suspected of crashing upstreams.
+    pub fn quarantine(&self) -> sync::MutexGuard<'_, quarantine::Quarantine> {
+        lock(&self.quarantine)
+    }
+
     /// Runs `f` on the traffic statistics of a service at this ingress.
     pub fn with_traffic<R>(
         &self,
--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -100,6 +100,70 @@
     }
 }
 
+// Guards against a daemon that starts without the knowledge of its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_rejects_what_its_peers_have_quarantined() {
+    let trigger = crashing_backend::Trigger::Path("/crash");
+    let mut setup = Setup::start(trigger, false).await;
+    let crashing = request("GET", "/crash", b"");
+    setup.send_copies(&crashing, time::Duration::from_secs(1)).await;
+    let crashes = setup.crashes().len();
+    setup.fleet.add_daemon("a").await;
+    let all = DAEMONS + 1;
+    setup
+        .fleet
+        .wait_until(|fleet| {
+            let started = &fleet.daemons[DAEMONS].shared;
+            started.membership().live_records(started.now()).count() == all && started.is_current()
+        })
+        .await;
+    let caller = caller::Caller::new(setup.fleet.ingress_address(DAEMONS));
+    let response = caller.send(&crashing).await;
+    assert_eq!((response.status, response.reason.as_str()), (503, "quarantined"));
+    assert_eq!(setup.crashes().len(), crashes);
+}
+
+const BYSTANDERS: usize = 10_000;
+const UNRELATED_CRASHES: usize = 20;
+
+// Guards against rejecting requests that were merely running when upstreams crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beside_unrelated_crashes_are_not_quarantined() {
+    let setup = Setup::start(crashing_backend::Trigger::Path("/none"), false).await;
+    let sent = sync::atomic::AtomicUsize::new(0);
+    let send = |sender: usize| {
+        let (setup, sent) = (&setup, &sent);
+        async move {
+            let caller = caller::Caller::new(setup.ingress(sender));
+            let mut quarantined = 0;
+            loop {
+                let number = sent.fetch_add(1, sync::atomic::Ordering::Relaxed);
+                if number >= BYSTANDERS {
+                    return quarantined;
+                }
+                // Every other request is a copy of all others like it.
+                let body = if number % 2 == 0 { String::new() } else { number.to_string() };
+                let bystander =
+                    caller::Request { body: Bytes::from(body), ..request("POST", "/other", b"") };
+                let response = caller.send(&bystander).await;
+                quarantined += usize::from(response.reason == "quarantined");
+            }
+        }
+    };
+    let crash = async {
+        for number in 0..UNRELATED_CRASHES {
+            let progress = BYSTANDERS * (number + 1) / (UNRELATED_CRASHES + 1);
+            while sent.load(sync::atomic::Ordering::Relaxed) < progress {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+            setup.backends[number % DAEMONS].crash();
+        }
+    };
+    let senders = futures::future::join_all((0..2 * DAEMONS).map(send));
+    let (quarantined, ()) = tokio::join!(senders, crash);
+    assert_eq!(quarantined.iter().sum::<usize>(), 0);
+}
+
 /// Returns the crashes later than [`STABLE`] after the third one.
 fn late_crashes(crashes: &[time::Instant]) -> usize {
     crashes.get(2).map_or(0, |third| crashes.iter().filter(|at| **at > *third + STABLE).count())
@@ -138,11 +202,9 @@
     let (responses, (served, sent)) = tokio::join!(send_copies, send_others);
     let crashes = setup.crashes();
     let outcomes: Vec<_> = responses.iter().map(|r| (r.status, r.reason.as_str())).collect();
-    println!(
-        "{} crashes, {} late, {served} of {sent} others served",
-        crashes.len(),
-        late_crashes(&crashes)
-    );
     assert_eq!(late_crashes(&crashes), 0, "{} crashes, {outcomes:?}", crashes.len());
     assert!(served * 100 >= sent * 90, "{served} of {sent} other requests served");
+    let last = responses.last().expect("copies were sent");
+    let outcome = (last.status, last.outcome.as_str(), last.reason.as_str());
+    assert_eq!(outcome, (503, "not-run", "quarantined"));
 }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod head;
 mod outstanding;
+mod quarantine;
 mod retries;
 mod telemetry;
 
@@ -148,6 +149,8 @@
     ignores_suspicion: bool,
     /// Whether a retry was not made because the retry budget was empty.
     over_budget: bool,
+    /// Whether a retry was not made because the request crashes upstreams.
+    is_quarantined: bool,
     /// End of the latest attempt that may have run the request.
     may_have_run: Option<retry::AttemptEnd>,
     /// End of the latest attempt.
@@ -338,6 +341,7 @@
         server_error: &mut Option<http::Response<body::ResponseBody<C>>>,
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let service = &context.route_match.service;
+        self.check_quarantine(context).await?;
         loop {
             let outstanding = match self.pick_upstream(context, progress) {
                 Ok(outstanding) => outstanding,
@@ -370,6 +374,10 @@
             if end == retry::AttemptEnd::NotRun(outcome::Rejection::Suspected) {
                 progress.suspected.push(address);
             }
+            if let Err(quarantined) = self.check_quarantine(context).await {
+                progress.is_quarantined = true;
+                return Err(progress.may_have_run.unwrap_or(quarantined));
+            }
             if !self.try_retry(context, end, progress.attempts, progress) {
                 // A rejection of the last attempt does not prove that no earlier attempt was run.
                 return Err(progress.may_have_run.unwrap_or(end));
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -54,6 +54,9 @@
         } else {
             self.send_to_peer(context, &envelope, &mut outstanding).await
         };
+        if let Some(fingerprint) = context.fingerprint().filter(|_| response.is_ok()) {
+            self.shared.quarantine().record_survival(fingerprint, self.shared.now());
+        }
         let response = match response {
             Ok(response) => response,
             Err(end) => return Err(self.attribute_to_caller(context, end)),
@@ -76,6 +79,7 @@
         let attempt = self.sidecar.serve(envelope, request).await;
         let is_error = attempt.result.as_ref().is_ok_and(|r| r.status().is_server_error());
         self.record_report(&attempt.report, is_error, outstanding);
+        self.record_crash(context, &attempt.report, outstanding).await;
         let dependency_failed = attempt.report.dependency_failed;
         let response = attempt.result.map(|response| response.map(UntrackedBody::Local));
         response.map(|response| mark_dependency_error(response, dependency_failed))
@@ -114,6 +118,7 @@
         let malformed = retry::AttemptEnd::MayHaveRun(outcome::Failure::BadResponse);
         let report = envelope::AttemptReport::read(response.headers()).map_err(|_| malformed)?;
         self.record_report(&report, response.status().is_server_error(), outstanding);
+        self.record_crash(context, &report, outstanding).await;
         if let Some(end) = report.end {
             return Err(end);
         }
--- /dev/null
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -0,0 +1,54 @@
+//! Rejection of requests that crash the upstreams that run them.
+
+use lynxmast_protocol::envelope;
+use lynxmast_state::clock;
+use lynxmast_state::event;
+use lynxmast_state::outcome;
+use lynxmast_state::retry;
+
+use crate::ingress;
+
+impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Rejects a request whose copies have crashed upstreams. If only the head equals that of such a
+    /// request, as much of the body is read as is needed to tell them apart.
+    pub(super) async fn check_quarantine(
+        &self,
+        context: &ingress::RequestContext,
+    ) -> Result<(), retry::AttemptEnd> {
+        if !self.shared.quarantine().is_suspected_head(context.head_hash) {
+            return Ok(());
+        }
+        let reading =
+            tokio::time::timeout_at(context.deadline.into(), context.body.read_prefix()).await;
+        if reading.is_err() {
+            return Err(retry::AttemptEnd::NotRun(outcome::Rejection::DeadlineBeforeRun));
+        }
+        // Without a fingerprint the body has failed, which the next attempt finds out.
+        let Some(fingerprint) = context.fingerprint() else { return Ok(()) };
+        let is_admitted = self.shared.quarantine().admit(&fingerprint, self.shared.now());
+        let rejected = retry::AttemptEnd::NotRun(outcome::Rejection::Quarantined);
+        is_admitted.then_some(()).ok_or(rejected)
+    }
+
+    /// Records that the upstream of an attempt has crashed while it ran the request, if the sidecar
+    /// reports that.
+    pub(super) async fn record_crash(
+        &self,
+        context: &ingress::RequestContext,
+        report: &envelope::AttemptReport,
+        outstanding: &ingress::OutstandingRequest<C>,
+    ) {
+        let Some(incarnation) = report.crashed else { return };
+        // The upstream may have crashed before it read the body.
+        let reading = context.body.read_prefix();
+        let _ = tokio::time::timeout_at(context.deadline.into(), reading).await;
+        let Some(fingerprint) = context.fingerprint() else { return };
+        let address = outstanding.candidate.id.address;
+        let now = self.shared.now();
+        let is_quarantined =
+            self.shared.quarantine().record_crash(fingerprint, address, incarnation, now);
+        if is_quarantined {
+            self.shared.record_event(event::Kind::RequestQuarantined { fingerprint });
+        }
+    }
+}
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -106,7 +106,9 @@
         progress: &mut ingress::Progress,
     ) -> Option<ingress::OutstandingRequest<C>> {
         let service = &context.route_match.service.name;
-        let allowed = context.body.is_complete()
+        let is_suspected = self.shared.quarantine().is_suspected_head(context.head_hash);
+        let allowed = !is_suspected
+            && context.body.is_complete()
             && progress.attempts + 1 < context.route_match.route.attempts;
         if !allowed || !self.shared.with_traffic(service, |t| t.budget.withdraw()) {
             return None;
--- a/crates/transport/src/replay.rs
+++ b/crates/transport/src/replay.rs
@@ -104,6 +104,17 @@
         lock(&self.inner).state == ReadState::Complete
     }
 
+    /// Reads from the caller until [`body_hash`](Self::body_hash) is known. Bodies of earlier
+    /// attempts can no longer read from the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller does not send that much of the body.
+    pub async fn read_prefix(&self) -> Result<(), body_error::BodyError> {
+        lock(&self.inner).reader += 1;
+        std::future::poll_fn(|cx| lock(&self.inner).poll_prefix(cx)).await
+    }
+
     /// Returns the hash of the body for the request's fingerprint; `None` if too little of the body
     /// has arrived.
     pub fn body_hash(&self) -> Option<u64> {
@@ -152,6 +163,23 @@
         }
     }
 
+    fn poll_prefix(
+        &mut self,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Result<(), body_error::BodyError>> {
+        while !self.hasher.is_full() {
+            match self.state {
+                ReadState::Complete => break,
+                ReadState::Failed(error) => return task::Poll::Ready(Err(error)),
+                ReadState::Reading | ReadState::Overflowed => {}
+            }
+            if let Some(Err(error)) = std::task::ready!(self.poll_incoming(cx)) {
+                return task::Poll::Ready(Err(error));
+            }
+        }
+        task::Poll::Ready(Ok(()))
+    }
+
     fn buffer(&mut self, data: &Bytes) {
         if self.state != ReadState::Reading {
             return;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -94,6 +94,8 @@
     elapsed: Option<time::Duration>,
     /// Whether an error response follows a failed call of the backend server to a dependency.
     dependency_failed: bool,
+    /// Incarnation of the upstream that crashed while it ran the request.
+    crashed: Option<ids::Incarnation>,
 }
 
 /// Time after a failed call to a dependency within which an error response of a backend server is
@@ -140,13 +142,14 @@
         let load = upstream.map(|upstream| upstream.load(now));
         let end = result.as_ref().err().copied();
         let policy = self.shared.policy().version;
-        let Observation { elapsed, dependency_failed } = observed;
+        let Observation { elapsed, dependency_failed, crashed } = observed;
         let report = envelope::AttemptReport {
             end,
             load,
             elapsed,
             failure_percent,
             dependency_failed,
+            crashed,
             policy,
         };
         AttemptResponse { result, report }
@@ -182,12 +185,13 @@
         let mut recorder = result_recorder::ResultRecorder::start(upstream);
         let result = self.await_response(envelope, &slot, connection, request, deadline).await;
         if matches!(result, Err(retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost))) {
-            upstream.find_crash().await;
+            observed.crashed = upstream.find_crash().await;
         }
         let (response, mut connection) = result.inspect_err(|end| recorder.record_end(*end))?;
         observed.elapsed = Some(self.shared.now().saturating_duration_since(started));
         let checked = forwarding::check_response(&response, &connection, &headers, no_body);
         let returned_id = checked.inspect_err(|end| recorder.record_end(*end))?;
+        upstream.record_response();
         connection.apply_keep_alive(response.headers());
         if let Some(rejection) = forwarding::rejection(&response, &headers) {
             recorder.record_end(retry::AttemptEnd::NotRun(rejection));
@@ -251,6 +255,15 @@
                 failed => failed,
             });
         }
+        let silence = upstream.overdue_timeout().min(envelope.time_left / 2);
+        let pending = async {
+            tokio::select! {
+                result = pending => result,
+                () = upstream.silent_crash(silence) => {
+                    Err(retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost))
+                }
+            }
+        };
         match tokio::time::timeout_at(deadline.into(), pending).await {
             Ok(result) => result,
             Err(_) => {
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -90,6 +90,7 @@
             elapsed,
             failure_percent,
             dependency_failed,
+            crashed: None,
             policy,
         };
         report.write(response.headers_mut());
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -41,6 +41,8 @@
     liveness: tokio::sync::Mutex<Option<LivenessCheck>>,
     /// Incarnation that was last found to have crashed; 0 if none was.
     crashed: sync::Mutex<ids::Incarnation>,
+    /// Last time at which the backend server responded or accepted a connection.
+    last_response: sync::Mutex<time::Instant>,
 }
 
 /// Result of connecting to a backend server in order to find out whether it still runs.
@@ -64,7 +66,10 @@
 const OVERDUE_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(500);
 
 /// Time within which a running backend server on the same VM accepts a connection.
-const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Time for which a backend server that does not accept connections counts as not running.
+const DOWNTIME_MIN: time::Duration = time::Duration::from_millis(500);
 
 /// Data of the backend server's last announcement.
 #[derive(Debug, Clone, PartialEq)]
@@ -111,6 +116,7 @@
         let admission = admission::Admission::new(limits, lease.renewed);
         let admission = sync::Mutex::new(admission);
         let detector = sync::Mutex::new(outlier::Detector::new(lease.renewed));
+        let last_response = sync::Mutex::new(lease.renewed);
         Self {
             id,
             pool,
@@ -124,6 +130,7 @@
             pending: Default::default(),
             liveness: Default::default(),
             crashed: Default::default(),
+            last_response,
         }
     }
 
@@ -229,8 +236,7 @@
     /// Counts requests in flight that take far longer than the mean service time as failed, so that
     /// a hanging upstream is detected before its callers time out.
     pub fn fail_overdue_requests(&self, now: time::Instant) {
-        let service_time = self.service_time().unwrap_or_default();
-        let timeout = (service_time * OVERDUE_TIMEOUT_FACTOR).max(OVERDUE_TIMEOUT_MIN);
+        let timeout = self.overdue_timeout();
         loop {
             let mut pending = lock(&self.pending);
             let oldest = pending.requests.front().map(|(_, started)| *started);
@@ -243,6 +249,31 @@
         }
     }
 
+    /// Returns the time after which a request without a response counts as failed.
+    pub fn overdue_timeout(&self) -> time::Duration {
+        let service_time = self.service_time().unwrap_or_default();
+        (service_time * OVERDUE_TIMEOUT_FACTOR).max(OVERDUE_TIMEOUT_MIN)
+    }
+
+    /// Records that the backend server runs.
+    pub fn record_response(&self) {
+        *lock(&self.last_response) = self.clock.now();
+    }
+
+    /// Waits until the backend server is found to have crashed. It is checked each time it has
+    /// given no sign of life for `silence`.
+    pub async fn silent_crash(&self, silence: time::Duration) {
+        let mut since = self.clock.now();
+        loop {
+            tokio::time::sleep(silence).await;
+            let last_response = *lock(&self.last_response);
+            if last_response < since && self.find_crash().await.is_some() {
+                return;
+            }
+            since = self.clock.now();
+        }
+    }
+
     /// Finds out whether the backend server has crashed, after a connection to it was lost. Returns
     /// the incarnation that crashed, or `None` if it still runs or has announced its departure.
     pub async fn find_crash(&self) -> Option<ids::Incarnation> {
@@ -270,7 +301,11 @@
     async fn is_running(&self) -> bool {
         let asked = self.clock.now();
         let mut last = self.liveness.lock().await;
-        if let Some(check) = last.filter(|check| check.started >= asked) {
+        let is_valid = |check: &LivenessCheck| match check.is_running {
+            true => check.started >= asked,
+            false => asked.saturating_duration_since(check.started) < DOWNTIME_MIN,
+        };
+        if let Some(check) = last.filter(is_valid) {
             return check.is_running;
         }
         let started = self.clock.now();
@@ -278,6 +313,7 @@
         let is_running = match connecting.await {
             Ok(Ok(connection)) => {
                 self.pool.add_idle(connection);
+                self.record_response();
                 true
             }
             // The connections in use prove nothing, but neither does their number.
