Play a request that crashes backend servers in the soak

Copies of one request that crashes the backend server that runs it arrive four times a second through all other faults; a crashed server is replaced after 1 s. Two more invariants: after the last fault no copy reaches a backend server, and no other request is ever quarantined.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Fleet under test: daemon processes with their backend servers, fault proxies and a log service.
 
+use std::collections;
 use std::net;
 use std::path;
 use std::sync::atomic;
@@ -8,6 +9,7 @@
 use indexmap::IndexMap;
 use lynxmast_protocol::log as api;
 use lynxmast_testing::backend;
+use lynxmast_testing::crashing_backend;
 use lynxmast_testing::fake_log;
 use lynxmast_testing::fault_proxy;
 use lynxmast_testing::fleet as testing_fleet;
@@ -41,7 +43,9 @@
 pub const IDEMPOTENT_PATH: &str = "/read";
 /// Path of the route whose requests must not run twice.
 pub const NON_IDEMPOTENT_PATH: &str = "/buy";
-/// Deadline of both routes.
+/// Path of the idempotent route whose requests crash the backend server that runs them.
+pub const CRASHING_PATH: &str = "/crash";
+/// Deadline of all routes.
 pub const DEADLINE: time::Duration = time::Duration::from_secs(2);
 
 /// Time that a backend server takes for a request: long enough that some requests are running when
@@ -51,6 +55,8 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time from a crash that a request has caused to the start of another backend server.
+const CRASH_DOWNTIME: time::Duration = time::Duration::from_secs(1);
 const PROXY_DELAY: time::Duration = time::Duration::from_millis(80);
 static FLEETS_STARTED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
@@ -59,6 +65,8 @@
 fn section(edit: u64) -> String {
     format!(
         "team = 'soak'\n[[service]]\nname = '{SERVICE}'\nramp = '0s'\nqueue = {}\n\
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{CRASHING_PATH}'\nidempotent = true\n\
+         deadline = '2s'\n\
          [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{IDEMPOTENT_PATH}'\nidempotent = true\n\
          deadline = '2s'\n\
          [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\ndeadline = '2s'\n",
@@ -127,13 +135,45 @@
         let mut transitions: Vec<(time::Duration, bool, schedule::Fault)> =
             starts.chain(ends).collect();
         transitions.sort_by_key(|(offset, ..)| *offset);
+        let mut transitions = collections::VecDeque::from(transitions);
         let started = time::Instant::now();
-        for (offset, is_start, fault) in transitions {
-            tokio::time::sleep(offset.saturating_sub(started.elapsed())).await;
+        while let Some((offset, is_start, fault)) = transitions.front().copied() {
+            let timeout = offset.saturating_sub(started.elapsed());
+            if let Some(daemon) = self.await_crash(timeout).await {
+                self.nodes[daemon].backend.crash();
+                let kind = schedule::Kind::BackendCrash;
+                let (start, length) = (started.elapsed(), CRASH_DOWNTIME);
+                let crash = schedule::Fault { start, length, daemon, kind };
+                let end = start + length;
+                let index = transitions.partition_point(|(offset, ..)| *offset <= end);
+                transitions.insert(index, (end, false, crash));
+                continue;
+            }
+            transitions.pop_front();
             if is_start { self.begin_fault(&fault).await } else { self.end_fault(&fault).await }
         }
     }
 
+    /// Waits until a request crashes a backend server, and returns the index of its daemon; `None`
+    /// after `timeout`.
+    async fn await_crash(&self, timeout: time::Duration) -> Option<usize> {
+        let crashes = self.nodes.iter().map(|node| Box::pin(node.backend.crashed()));
+        let first = tokio::time::timeout(timeout, futures::future::select_all(crashes)).await;
+        first.ok().map(|((), daemon, _)| daemon)
+    }
+
+    /// Sends a request that crashes backend servers to each ingress. Returns a violation if one of
+    /// them is run.
+    pub async fn probe_quarantine(&self) -> Vec<String> {
+        for ingress in self.ingress_addresses() {
+            load::send_crashing_request(ingress).await;
+        }
+        let crashed = self.await_crash(POLL_INTERVAL).await;
+        let violation =
+            |daemon| format!("a request crashed the backend server of daemon {daemon} once more");
+        crashed.map(violation).into_iter().collect()
+    }
+
     async fn begin_fault(&mut self, fault: &schedule::Fault) {
         use schedule::Kind::*;
         let node = &mut self.nodes[fault.daemon];
@@ -301,7 +341,8 @@
 
 /// Returns the behaviour of a backend server without faults.
 fn healthy_behaviour() -> backend::Behaviour {
-    backend::Behaviour { service_time: SERVICE_TIME, ..backend::Behaviour::default() }
+    let crash_on = Some(crashing_backend::Trigger::Path(CRASHING_PATH));
+    backend::Behaviour { service_time: SERVICE_TIME, crash_on, ..backend::Behaviour::default() }
 }
 
 fn log_faults(change: impl FnOnce(&mut fake_log::Faults)) -> fake_log::Faults {
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -45,6 +45,9 @@
         if response.is_success() && run_count == 0 {
             report("a request that never ran got a successful response");
         }
+        if response.reason == "quarantined" {
+            report("a request that crashes nothing was quarantined");
+        }
         if response.elapsed > fleet::DEADLINE + LATENESS_MAX {
             report("a response came too long after the deadline");
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,7 @@
 //! Proxies between the daemons delay and drop bytes and close or blackhole connections. Signals
 //! suspend, resume, terminate and kill processes; the soak ends only processes that it started, by
 //! their ids. The log service fails, loses responses or is slow. Backend servers fail, hang and
-//! crash.
+//! crash, also under copies of one request, which the fleet has to recognise.
 
 pub mod fleet;
 pub mod invariants;
@@ -46,9 +46,12 @@
     let faults = schedule::generate(plan.seed, plan.duration, plan.processes);
     let callers = load::Callers::start(&fleet.ingress_addresses());
     let version_monitor = invariants::VersionMonitor::start(fleet.admin_addresses());
+    let crashing = tokio::spawn(load::send_crashing_requests(fleet.ingress_addresses()));
     fleet.inject(&faults).await;
+    crashing.abort();
     fleet.clear_faults().await;
     let mut violations = await_recovery(&fleet.ingress_addresses()).await;
+    violations.extend(fleet.probe_quarantine().await);
     violations.extend(version_monitor.stop().await);
     let observations = callers.stop().await;
     violations.extend(invariants::check_requests(&observations, &fleet.runs_by_tag()));
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use lynxmast_testing::caller;
+use rand::seq::IndexedRandom;
 use tokio::task;
 
 use crate::fleet;
@@ -29,6 +30,8 @@
 const CALLERS_PER_INGRESS: usize = 3;
 /// Pause of a caller after each request.
 const REQUEST_PAUSE: time::Duration = time::Duration::from_millis(15);
+/// Time between two copies of a request that crashes backend servers.
+const COPY_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Number of requests to each ingress in a probe.
 const PROBE_REQUESTS: usize = 20;
 
@@ -81,6 +84,26 @@
     caller::Request { method, host: fleet::HOST, path, ..caller::Request::default() }
 }
 
+/// Sends copies of a request that crashes backend servers, at random ingresses, until the task is
+/// aborted.
+pub async fn send_crashing_requests(ingresses: Vec<net::SocketAddr>) {
+    let mut copies = task::JoinSet::new();
+    loop {
+        if let Some(ingress) = ingresses.choose(&mut rand::rng()) {
+            copies.spawn(send_crashing_request(*ingress));
+        }
+        tokio::time::sleep(COPY_INTERVAL).await;
+        while copies.try_join_next().is_some() {}
+    }
+}
+
+/// Sends one copy of a request that crashes the backend server that runs it.
+pub async fn send_crashing_request(ingress: net::SocketAddr) -> caller::Response {
+    let (host, path) = (fleet::HOST, fleet::CRASHING_PATH);
+    let request = caller::Request { host, path, ..caller::Request::default() };
+    caller::Caller::new(ingress).send(&request).await
+}
+
 /// Sends idempotent requests to each ingress and returns the success rate of each ingress.
 pub async fn probe(ingresses: &[net::SocketAddr]) -> Vec<f64> {
     let mut success_rates = Vec::new();
