--- a/crates/testing/examples/measure/main.rs
+++ b/crates/testing/examples/measure/main.rs
@@ -2,6 +2,7 @@
 
 mod data_path;
 mod fairness;
+mod fingerprint;
 mod membership;
 mod process;
 mod report;
@@ -21,7 +22,7 @@
     seconds: u64,
     #[options(
         free,
-        help = "latency, throughput, connections, streaming, fairness, limits or routing; data-path for all of these; or membership"
+        help = "latency, throughput, connections, streaming, fairness, limits or routing; data-path for all of these; or membership or fingerprint"
     )]
     experiments: Vec<String>,
 }
@@ -44,9 +45,16 @@
             Experiment("limits", fairness::limits),
             Experiment("routing", routing::measure),
         ];
-        if name == "membership" {
-            membership::measure(seed, duration);
-            continue;
+        match name.as_str() {
+            "membership" => {
+                membership::measure(seed, duration);
+                continue;
+            }
+            "fingerprint" => {
+                fingerprint::measure(seed, duration);
+                continue;
+            }
+            _ => {}
         }
         let selected: Vec<_> = experiments
             .iter()
--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -44,7 +44,15 @@
 
 impl Setup {
     async fn start(trigger: crashing_backend::Trigger, is_silent: bool) -> Self {
-        let domains = ["a", "b", "c"].repeat(DAEMONS / 3);
+        Self::start_with(DAEMONS, trigger, is_silent).await
+    }
+
+    async fn start_with(
+        daemons: usize,
+        trigger: crashing_backend::Trigger,
+        is_silent: bool,
+    ) -> Self {
+        let domains = ["a", "b", "c"].repeat(daemons / 3);
         let fleet = fleet::Fleet::start(&domains, &[SECTION]).await;
         let plan = crashing_backend::CrashPlan { trigger, is_silent, downtime: DOWNTIME };
         let behaviour = backend::Behaviour { service_time: SERVICE_TIME, ..Default::default() };
@@ -60,7 +68,7 @@
     }
 
     fn ingress(&self, number: usize) -> net::SocketAddr {
-        self.fleet.ingress_address(number % DAEMONS)
+        self.fleet.ingress_address(number % self.fleet.daemons.len())
     }
 
     /// Returns the times of all crashes that requests have caused, in order.
@@ -123,6 +131,23 @@
     assert_eq!(setup.crashes().len(), crashes);
 }
 
+const LARGE_FLEET: usize = 60;
+
+#[test_case::test_case(DAEMONS, false; "small fleet")]
+#[test_case::test_case(DAEMONS, true; "small fleet, silent crash")]
+#[test_case::test_case(LARGE_FLEET, false; "large fleet")]
+#[test_case::test_case(LARGE_FLEET, true; "large fleet, silent crash")]
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "run by hand: takes minutes"]
+async fn copies_that_arrive_for_a_minute_crash_few_upstreams(daemons: usize, is_silent: bool) {
+    let trigger = crashing_backend::Trigger::Path("/crash");
+    let setup = Setup::start_with(daemons, trigger, is_silent).await;
+    setup.send_copies(&request("GET", "/crash", b""), time::Duration::from_secs(60)).await;
+    let crashes = setup.crashes();
+    println!("{daemons} daemons: {} crashes, {} late", crashes.len(), late_crashes(&crashes));
+    assert_eq!(late_crashes(&crashes), 0);
+}
+
 const BYSTANDERS: usize = 10_000;
 const UNRELATED_CRASHES: usize = 20;
 
