Log the limits and leaving notices that upstreams name

The sidecar reads both fields from each response, including those that say that a request was not run. A changed limit and the first notice are logged (upstream-limit, upstream-leaving); the limit is a gauge, invalid values are counted. Nothing acts on them yet.

A limit is a decimal number without sign or exponent; of repeated values the lowest counts, and an invalid one changes nothing. Without the field there is no limit, and a new incarnation starts without one.

--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -98,6 +98,15 @@
         metrics::gauge!("lynxmast_quarantined_requests").set(quarantined as f64);
     }
 
+    /// Sets the gauges of the limits that local upstreams name.
+    fn record_limits(&self) {
+        for upstream in self.sidecar.upstreams() {
+            let limit = upstream.limit().unwrap_or(f64::INFINITY);
+            metrics::gauge!("lynxmast_upstream_limit", "upstream" => upstream.id.to_string())
+                .set(limit);
+        }
+    }
+
     /// Sets the gauges of the upstreams that the ingress selects or leaves out.
     fn record_availability(&self) {
         let router = self.shared.router();
@@ -126,6 +135,7 @@
             api::METRICS_PATH => {
                 self.record_availability();
                 self.record_suspects();
+                self.record_limits();
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
                 (ok, Bytes::from(text.unwrap_or_default()))
             }
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -55,6 +55,10 @@
 /// Sidecar to ingress: microseconds from forwarding the request to receiving the response head.
 pub const ELAPSED_US: &str = "lynxmast-took-us";
 
+/// Backend server to sidecar: requests per second that it accepts from the whole fleet.
+pub const LIMIT: &str = "lynxmast-limit";
+/// Backend server to sidecar: `1` if it is about to leave.
+pub const LEAVING: &str = "lynxmast-leaving";
 /// Sidecar to backend server and back: id of the exchange. The sidecar reuses a connection only
 /// if the backend server returns the id, which proves that the response belongs to the request.
 pub const EXCHANGE_ID: &str = "lynxmast-exchange";
--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -32,6 +32,11 @@
     pub caller_service: Option<HeaderName>,
     /// Marks a backend server's response to a request that it has not run.
     pub not_run: Option<HeaderName>,
+    /// Requests per second that a backend server accepts from the whole fleet, in each of its
+    /// responses for as long as the limit holds.
+    pub limit: HeaderName,
+    /// Marks, with the value `1`, the responses of a backend server that is about to leave.
+    pub leaving: HeaderName,
     /// Whether a response with neither a content length nor chunked encoding is accepted and ends
     /// when its connection is closed. If the connection is reset instead, the response counts as
     /// truncated.
@@ -43,6 +48,17 @@
     pub raw_paths: bool,
 }
 
+/// Limit that a backend server names in a response.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LimitField {
+    /// No limit is named.
+    Absent,
+    /// Requests per second; finite and not negative.
+    Limit(f64),
+    /// The value is not a decimal number.
+    Invalid,
+}
+
 /// Unit of a time in a header.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TimeUnit {
@@ -64,6 +80,8 @@
             instance: None,
             caller_service: None,
             not_run: None,
+            limit: HeaderName::from_static(header::LIMIT),
+            leaving: HeaderName::from_static(header::LEAVING),
             close_delimited: false,
             fractional_seconds: false,
             raw_paths: false,
@@ -131,8 +149,39 @@
         headers.insert(&self.time_left, HeaderValue::from(count));
     }
 
+    /// Reads the limit that a backend server names in a response. Of repeated values the lowest
+    /// counts.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_protocol::header_scheme::{HeaderScheme, LimitField};
+    /// let mut headers = http::HeaderMap::new();
+    /// assert_eq!(HeaderScheme::default().limit(&headers), LimitField::Absent);
+    /// headers.insert("lynxmast-limit", "3.3".parse().unwrap());
+    /// assert_eq!(HeaderScheme::default().limit(&headers), LimitField::Limit(3.3));
+    /// ```
+    pub fn limit(&self, headers: &HeaderMap) -> LimitField {
+        let values = headers.get_all(&self.limit).iter();
+        let limits: Option<Vec<f64>> = values.map(parse_decimal).collect();
+        let Some(limits) = limits else { return LimitField::Invalid };
+        limits.into_iter().reduce(f64::min).map_or(LimitField::Absent, LimitField::Limit)
+    }
+
+    /// Returns `true` if a backend server's response states that it is about to leave.
+    pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.get_all(&self.leaving).iter().any(|value| value.as_bytes().trim_ascii() == b"1")
+    }
+
     /// Returns `true` if a backend server's response states that it has not run the request.
     pub fn is_not_run(&self, headers: &HeaderMap) -> bool {
         self.not_run.as_ref().is_some_and(|name| headers.contains_key(name))
     }
 }
+
+/// Parses a decimal number without sign or exponent.
+fn parse_decimal(value: &HeaderValue) -> Option<f64> {
+    let text = value.to_str().ok()?.trim();
+    let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    text.parse().ok().filter(|number: &f64| is_decimal && number.is_finite())
+}
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -191,6 +191,10 @@
         observed.elapsed = Some(self.shared.now().saturating_duration_since(started));
         let checked = forwarding::check_response(&response, &connection, &headers, no_body);
         let returned_id = checked.inspect_err(|end| recorder.record_end(*end))?;
+        upstream.record_limit(self.header_scheme.limit(response.headers()));
+        if self.header_scheme.is_leaving(response.headers()) {
+            upstream.record_leaving();
+        }
         upstream.record_response();
         connection.apply_keep_alive(response.headers());
         if let Some(rejection) = forwarding::rejection(&response, &headers) {
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
+use lynxmast_protocol::header_scheme;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
 use lynxmast_state::ids;
@@ -43,6 +44,10 @@
     crashed: sync::Mutex<ids::Incarnation>,
     /// Last time at which the backend server responded or accepted a connection.
     last_response: sync::Mutex<time::Instant>,
+    /// Requests per second that the backend server accepts; `None` if it names no limit.
+    limit: sync::Mutex<Option<f64>>,
+    /// Whether the backend server has stated in a response that it is about to leave.
+    leaving: atomic::AtomicBool,
 }
 
 /// Result of connecting to a backend server in order to find out whether it still runs.
@@ -131,6 +136,8 @@
             liveness: Default::default(),
             crashed: Default::default(),
             last_response,
+            limit: Default::default(),
+            leaving: Default::default(),
         }
     }
 
@@ -173,6 +180,8 @@
         if incarnation > previous.incarnation {
             lock(&self.admission).restart_ramp(renewed);
             *lock(&self.detector) = outlier::Detector::new(renewed);
+            *lock(&self.limit) = None;
+            self.leaving.store(false, atomic::Ordering::Release);
             self.pool.close_idle();
         }
     }
@@ -255,6 +264,49 @@
         (service_time * OVERDUE_TIMEOUT_FACTOR).max(OVERDUE_TIMEOUT_MIN)
     }
 
+    /// Records the limit that a response names, and logs a change. An invalid value leaves the limit
+    /// as it is.
+    pub fn record_limit(&self, field: header_scheme::LimitField) {
+        let named = match field {
+            header_scheme::LimitField::Absent => None,
+            header_scheme::LimitField::Limit(limit) => Some(limit),
+            header_scheme::LimitField::Invalid => {
+                metrics::counter!("lynxmast_limits_invalid_total").increment(1);
+                return;
+            }
+        };
+        let previous = std::mem::replace(&mut *lock(&self.limit), named);
+        if previous != named {
+            log::info!(
+                event = "upstream-limit",
+                upstream:% = self.id,
+                limit = named,
+                previous;
+                "limit of upstream changed"
+            );
+        }
+    }
+
+    /// Returns the requests per second that the backend server accepts, if it names a limit.
+    pub fn limit(&self) -> Option<f64> {
+        *lock(&self.limit)
+    }
+
+    /// Records that the backend server has stated in a response that it is about to leave. Returns
+    /// whether this is new.
+    pub fn record_leaving(&self) -> bool {
+        let is_new = !self.leaving.swap(true, atomic::Ordering::AcqRel);
+        if is_new {
+            log::info!(
+                event = "upstream-leaving",
+                upstream:% = self.id,
+                incarnation = self.lease().incarnation;
+                "upstream states that it is about to leave"
+            );
+        }
+        is_new
+    }
+
     /// Records that the backend server runs.
     pub fn record_response(&self) {
         *lock(&self.last_response) = self.clock.now();
