--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -56,6 +56,10 @@
     pub echoes_ids: bool,
     /// Size of a response body in bytes; at least the tag and a line feed.
     pub body_size: usize,
+    /// Limit in requests per second that responses name; not a number for an invalid one.
+    pub limit: Option<&'static str>,
+    /// Whether responses state that the server is about to leave.
+    pub is_leaving: bool,
     /// Requests that crash the server once `service_time` has passed.
     pub crash_on: Option<crashing_backend::Trigger>,
 }
@@ -70,6 +74,8 @@
             hang_rate: 0.0,
             echoes_ids: true,
             body_size: 256,
+            limit: None,
+            is_leaving: false,
             crash_on: None,
         }
     }
@@ -79,6 +85,8 @@
 struct State {
     behaviour: sync::Mutex<Behaviour>,
     runs: atomic::AtomicU64,
+    /// Time of each arrival.
+    arrivals: sync::Mutex<Vec<time::Instant>>,
     running: atomic::AtomicU32,
     peak_running: atomic::AtomicU32,
     received_bytes: atomic::AtomicU64,
@@ -240,6 +248,11 @@
         self.state.runs.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns the time of each arrival of a request, in order.
+    pub fn arrivals(&self) -> Vec<time::Instant> {
+        lock(&self.state.arrivals).clone()
+    }
+
     /// Returns the highest number of requests that ran at the same time.
     pub fn peak_running(&self) -> u32 {
         self.state.peak_running.load(atomic::Ordering::SeqCst)
@@ -367,6 +380,12 @@
         if let Some(id) = id {
             response.headers_mut().insert(header::EXCHANGE_ID, id.clone());
         }
+        if let Some(limit) = behaviour.limit {
+            response.headers_mut().insert(header::LIMIT, http::HeaderValue::from_static(limit));
+        }
+        if behaviour.is_leaving {
+            response.headers_mut().insert(header::LEAVING, http::HeaderValue::from_static("1"));
+        }
         response
     }
 }
@@ -377,6 +396,7 @@
 impl<'a> RunningGuard<'a> {
     fn start(state: &'a State) -> Self {
         state.runs.fetch_add(1, atomic::Ordering::SeqCst);
+        lock(&state.arrivals).push(time::Instant::now());
         let running = state.running.fetch_add(1, atomic::Ordering::SeqCst) + 1;
         state.peak_running.fetch_max(running, atomic::Ordering::SeqCst);
         Self(state)
