Keep the limits that upstreams name in their responses

An upstream that had named a limit of 1 request a second got up to 38 in 4 s, where 11 were allowed.

Cause: the field was passed on to callers and read by nobody. The four slots of the upstream alone decided how many requests it got.

The sidecar, which all requests pass, now keeps a token bucket beside the slots. A request that would wait longer than one service time for the limit is rejected at once as not run, and the ingress asks others without a charge to the retry budget. Responses report the room that is left: ingresses select upstreams with room, and tell rejected callers when there is some.

--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -122,6 +122,10 @@
         ("not-run", "doubtful") => {
             "every remaining upstream was suspected, and the request is not idempotent".to_owned()
         }
+        ("not-run", "limited") => {
+            "the upstreams get as many requests per second as the limits allow that they name"
+                .to_owned()
+        }
         ("not-run", "quarantined") => {
             "upstreams had crashed while they ran copies of it, so it is quarantined".to_owned()
         }
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -13,6 +13,7 @@
 use lynxmast_state::load;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
+use lynxmast_state::request_limit;
 use lynxmast_state::retry;
 
 use crate::header;
@@ -139,6 +140,8 @@
     pub dependency_failed: bool,
     /// Incarnation of the upstream that crashed while it ran the request.
     pub crashed: Option<ids::Incarnation>,
+    /// What the limit of the upstream leaves for further requests; `None` if it names no limit.
+    pub room: Option<request_limit::Room>,
     /// Version of the policy that is active at the sidecar.
     pub policy: ids::PolicyVersion,
 }
@@ -165,6 +168,9 @@
         if let Some(incarnation) = self.crashed {
             put(headers, header::CRASHED, &incarnation.to_string());
         }
+        if let Some(room) = self.room {
+            put(headers, header::ROOM, &room.to_string());
+        }
     }
 
     /// Reads a report from a response's headers.
@@ -196,6 +202,7 @@
             failure_percent,
             dependency_failed,
             crashed: single(headers, header::CRASHED),
+            room: single(headers, header::ROOM),
             policy: get(headers, header::POLICY_VERSION)?,
         })
     }
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -18,6 +18,7 @@
         failure_percent: Some(40),
         dependency_failed: true,
         crashed: Some(3),
+        room: Some(request_limit::Room { rate: 3.3, wait: time::Duration::from_millis(20) }),
         policy: 9,
     };
     let mut headers = HeaderMap::new();
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -50,6 +50,9 @@
 pub const DEPENDENCY_FAILED: &str = "lynxmast-of-call";
 /// Sidecar to ingress: incarnation of the upstream that crashed while it ran the request.
 pub const CRASHED: &str = "lynxmast-crashed";
+/// Sidecar to ingress: what the limit of the upstream leaves for further requests, in the format of
+/// `lynxmast_state::request_limit`.
+pub const ROOM: &str = "lynxmast-room";
 /// Sidecar to ingress: load of the upstream, in the format of `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Sidecar to ingress: microseconds from forwarding the request to receiving the response head.
--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -185,3 +185,6 @@
     let is_decimal = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
     text.parse().ok().filter(|number: &f64| is_decimal && number.is_finite())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::load;
 use crate::outcome;
 use crate::priority;
+use crate::request_limit;
 use crate::slot_usage;
 use crate::statistics;
 
@@ -117,6 +118,8 @@
     fair_usage: statistics::MovingAverage,
     /// Slots recently taken, by priority.
     slot_usage: slot_usage::SlotUsage,
+    /// Limit that the backend server names.
+    limiter: request_limit::RequestLimiter,
 }
 
 #[derive(Debug)]
@@ -135,6 +138,8 @@
 /// Multiple of the expected wait after which a late request is rejected, since the estimate has
 /// proved wrong by then.
 const LATE_WAIT_FACTOR: u32 = 2;
+/// Wait for a limit up to which a request is queued, however short the service time is.
+const LIMIT_WAIT_MIN: time::Duration = time::Duration::from_millis(100);
 /// Minimum share of the slots assumed to be left by higher priorities; keeps the estimate finite.
 const REMAINING_SHARE_MIN: f64 = 0.02;
 const SERVICE_TIME_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
@@ -154,6 +159,7 @@
             excess_in_use: 0,
             fair_usage: statistics::MovingAverage::new(FAIR_USAGE_HALF_LIFE),
             slot_usage: slot_usage::SlotUsage::default(),
+            limiter: request_limit::RequestLimiter::default(),
         }
     }
 
@@ -168,10 +174,34 @@
         self.queue.set_capacity(limits.queue as usize);
     }
 
-    /// Restarts the ramp and ends a drain, for a restarted backend server.
-    pub fn restart_ramp(&mut self, now: time::Instant) {
+    /// Restarts the ramp and ends a drain and a limit, for a restarted backend server.
+    pub fn restart(&mut self, now: time::Instant) {
         self.ramp_start = now;
         self.draining = false;
+        self.limiter.set_limit(None, now);
+    }
+
+    /// Sets the requests per second that the backend server accepts; `None` without a limit.
+    /// Returns the previous limit.
+    pub fn set_request_limit(&mut self, limit: Option<f64>, now: time::Instant) -> Option<f64> {
+        let previous = self.limiter.limit();
+        self.limiter.set_limit(limit, now);
+        previous
+    }
+
+    /// Returns the requests per second that the backend server accepts, if it names a limit.
+    pub fn request_limit(&self) -> Option<f64> {
+        self.limiter.limit()
+    }
+
+    /// Returns what the limit leaves for another request; `None` without a limit.
+    pub fn room(&self, now: time::Instant) -> Option<request_limit::Room> {
+        self.limiter.room(self.queue.len(), now)
+    }
+
+    /// Counts a request towards the limit that is sent again under the slot that it has.
+    pub fn charge_resend(&mut self, now: time::Instant) {
+        self.limiter.charge(now);
     }
 
     /// Returns the load for the load header of a response.
@@ -208,8 +238,8 @@
             return Decision::Admit(item, class);
         }
         match self.wait_until(arrival, now) {
-            Some(until) => self.enqueue(arrival, item, now, until),
-            None => Decision::Reject(item, outcome::Rejection::WaitTooLong),
+            Ok(until) => self.enqueue(arrival, item, now, until),
+            Err(rejection) => Decision::Reject(item, rejection),
         }
     }
 
@@ -298,13 +328,15 @@
         if self.queue.is_excess(organisation, now) { ShareClass::Excess } else { ShareClass::Fair }
     }
 
-    /// Returns whether a request of `class` may take a slot. Running requests are not preempted, so
+    /// Returns whether a request of `class` may take a slot within the limit. Running requests are not preempted, so
     /// organisations that far exceed their share must leave free the slots that the others need on
     /// average.
     fn has_slot(&self, class: ShareClass, now: time::Instant) -> bool {
         let open = self.open_slots(now);
         let excess_max = open.saturating_sub(self.reserved_slots(now)).max(1);
-        self.in_use < open && (class == ShareClass::Fair || self.excess_in_use < excess_max)
+        self.in_use < open
+            && (class == ShareClass::Fair || self.excess_in_use < excess_max)
+            && self.limiter.wait(1, now).is_zero()
     }
 
     /// Returns the number of slots that requests of [`ShareClass::Fair`] use on average (Little's
@@ -317,6 +349,7 @@
 
     fn take_slot(&mut self, class: ShareClass, priority: &priority::Priority, now: time::Instant) {
         self.in_use += 1;
+        self.limiter.charge(now);
         let mean = self.service_time().unwrap_or_default();
         self.slot_usage.record(priority.order(mean, now), now);
         match class {
@@ -345,32 +378,48 @@
         }
     }
 
-    /// Returns the latest end of a request's wait, or `None` if it cannot expect a slot in time.
-    fn wait_until(&self, arrival: &Arrival, now: time::Instant) -> Option<time::Instant> {
+    /// Returns the latest end of a request's wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request cannot expect a slot in time.
+    fn wait_until(
+        &self,
+        arrival: &Arrival,
+        now: time::Instant,
+    ) -> Result<time::Instant, outcome::Rejection> {
         let max_wait = self.limits.max_wait.min(arrival.deadline - now);
-        let Some(mean) = self.service_time() else { return Some(now + max_wait) };
-        let wait = self.expected_wait(arrival, mean, now);
+        let limit_wait = self.limiter.wait(self.queue.len() + 1, now);
+        let mean = self.service_time();
+        // Another upstream is likely to start the request sooner than one that has reached its limit.
+        let limit_wait_max = mean.unwrap_or_default().max(LIMIT_WAIT_MIN).min(max_wait);
+        if limit_wait > limit_wait_max {
+            return Err(outcome::Rejection::Limited);
+        }
+        let Some(mean) = mean else { return Ok(now + max_wait) };
+        let wait = self.expected_wait(arrival, mean, now).max(limit_wait);
         if wait > max_wait {
-            return None;
+            return Err(outcome::Rejection::WaitTooLong);
         }
         let end = now + wait + mean;
         if let Some(latest) = arrival.priority.latest_start(mean, now)
             && arrival.priority.meets_objective(end)
         {
-            return Some(latest.min(now + max_wait));
+            return Ok(latest.min(now + max_wait));
         }
         if arrival.priority.objective.is_none() {
-            return Some(now + max_wait);
+            return Ok(now + max_wait);
         }
         // Requests that can meet their objective overtake a late one, so only a few late ones are
         // queued, and only briefly.
         if wait > mean {
-            return None;
+            return Err(outcome::Rejection::WaitTooLong);
         }
         let is_late = |waiting: &QueuedRequest<T>| !waiting.priority.meets_objective(now + mean);
         let late_max = (LATE_PER_SLOT * self.open_slots(now)) as usize;
         let may_queue = end <= arrival.deadline && self.queue.count(is_late) < late_max;
-        may_queue.then(|| now + (wait * LATE_WAIT_FACTOR).min(max_wait))
+        let until = now + (wait * LATE_WAIT_FACTOR).min(max_wait);
+        may_queue.then_some(until).ok_or(outcome::Rejection::WaitTooLong)
     }
 
     /// Returns the expected wait for a slot, from the requests ahead in the queue and the share of
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod read_turn;
+pub mod request_limit;
 pub mod retry;
 pub mod router;
 pub mod sampling;
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -55,6 +55,8 @@
         Suspected,
         /// Upstreams have crashed while they ran copies of the request.
         Quarantined,
+        /// The upstream gets as many requests per second as the limit allows that it names.
+        Limited,
     }
 
     /// Reason why a request that may have been run has no complete response.
@@ -135,7 +137,7 @@
 
 impl Rejection {
     /// All variants, for decoding and tests.
-    pub const ALL: [Rejection; 19] = [
+    pub const ALL: [Rejection; 20] = [
         Rejection::BadRequest,
         Rejection::UnknownKey,
         Rejection::Forbidden,
@@ -155,6 +157,7 @@
         Rejection::BodyTooLarge,
         Rejection::Suspected,
         Rejection::Quarantined,
+        Rejection::Limited,
     ];
 
     /// Returns the value of the reason header.
@@ -179,6 +182,7 @@
             Rejection::BodyTooLarge => "body-too-large",
             Rejection::Suspected => "doubtful",
             Rejection::Quarantined => "quarantined",
+            Rejection::Limited => "limited",
         }
     }
 
@@ -190,7 +194,8 @@
     /// Returns whether the request was rejected for lack of capacity; a suspected upstream counts
     /// as lacking it.
     pub fn is_overload(&self) -> bool {
-        matches!(self, Rejection::QueueFull | Rejection::WaitTooLong | Rejection::Suspected)
+        use Rejection::{Limited, QueueFull, Suspected, WaitTooLong};
+        matches!(self, QueueFull | WaitTooLong | Suspected | Limited)
     }
 
     /// Returns whether a backend server was contacted, although it did not run the request.
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -101,6 +101,7 @@
             | Shed
             | Misdirected
             | Suspected
+            | Limited
     )
 }
 
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -18,6 +18,7 @@
 use crate::ids;
 use crate::load;
 use crate::outlier;
+use crate::request_limit;
 use crate::statistics;
 
 pub use availability::Availability;
@@ -131,6 +132,16 @@
     /// Starts from the failure probability that the sidecar reported last; `None` before the first
     /// report.
     detector: Option<outlier::Detector>,
+    /// `None` if the upstream names no limit.
+    room: Option<RoomEstimate>,
+}
+
+/// Estimate of when an upstream's limit has room for a request of this ingress.
+#[derive(Debug, Clone, Copy)]
+struct RoomEstimate {
+    ready: time::Instant,
+    /// Time between two requests within the limit.
+    spacing: time::Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -164,6 +175,9 @@
 const ERROR_COST_FACTOR: f64 = 50.0;
 /// Number of successful requests assumed in addition to the recorded results.
 const ERROR_PRIOR_SAMPLES: f64 = 2.0;
+/// Time after the room of a limited upstream over which the ingresses spread their requests, as a
+/// multiple of the time between two requests within the limit.
+const ROOM_SPREAD: f64 = 1.0;
 /// Latency in seconds assumed for an upstream before any is measured.
 const LATENCY_DEFAULT_S: f64 = 0.01;
 
@@ -196,6 +210,7 @@
             Balance::RoundRobin => pool.next_round_robin(&usable),
             Balance::LeastConnections => pool.least_outstanding(&usable, rng),
             Balance::LoadSeen => {
+                let usable = pool.filter_limited(usable, criteria.now);
                 let usable = pool.filter_slow(usable, criteria);
                 let usable = pool.filter_suspected(usable, criteria, rng);
                 pool.lowest_cost(&usable, &self.domain, criteria, rng)
@@ -203,6 +218,9 @@
         }?;
         let (_, upstream) = pool.upstreams.get_index_mut(index)?;
         upstream.outstanding += 1;
+        if let Some(room) = &mut upstream.room {
+            room.ready = room.ready.max(criteria.now) + room.spacing;
+        }
         Some(upstream.candidate.clone())
     }
 
@@ -270,6 +288,36 @@
         }
     }
 
+    /// Records what a sidecar reported about the limit of its upstream; `None` if it names none.
+    ///
+    /// All ingresses wait for the same room, so each spreads its next request over some time after
+    /// it.
+    pub fn record_room(
+        &mut self,
+        id: &ids::UpstreamId,
+        room: Option<request_limit::Room>,
+        now: time::Instant,
+        rng: &mut impl Rng,
+    ) {
+        let pool = self.pools.get_mut(&id.service);
+        if let Some(upstream) = pool.and_then(|p| p.upstreams.get_mut(&id.address)) {
+            upstream.room = room.map(|room| {
+                let spacing = time::Duration::from_secs_f64(1.0 / room.rate);
+                let spread = spacing.mul_f64(rng.random_range(0.0..ROOM_SPREAD));
+                let wait = if room.wait.is_zero() { room.wait } else { room.wait + spread };
+                RoomEstimate { ready: now + wait, spacing }
+            });
+        }
+    }
+
+    /// Returns the time until the limit of one of the upstreams of a service has room; `None` if no
+    /// upstream names a limit.
+    pub fn next_room(&self, service: &str, now: time::Instant) -> Option<time::Duration> {
+        let upstreams = self.pools.get(service)?.upstreams.values();
+        let next = upstreams.filter_map(|upstream| upstream.room).map(|room| room.ready).min();
+        next.map(|ready| ready.saturating_duration_since(now))
+    }
+
     /// Backs off from every upstream of a daemon whose sidecar this ingress cannot reach.
     pub fn record_sidecar_failure(&mut self, daemon: &str, now: time::Instant) {
         for pool in self.pools.values_mut() {
@@ -357,6 +405,7 @@
             error_rate: statistics::MovingAverage::new(LATENCY_HALF_LIFE),
             backoff: backoff::Backoff::default(),
             detector: None,
+            room: None,
         }
     }
 
@@ -380,6 +429,13 @@
         let wait = (load + 1.0 - slots).max(0.0) / slots;
         self.effective_latency(median, now) * (1.0 + wait)
             + median * BUSY_COST_FRACTION * load / slots
+            + self.limit_wait(now).as_secs_f64()
+    }
+
+    /// Returns the time until the limit of the upstream is expected to have room.
+    fn limit_wait(&self, now: time::Instant) -> time::Duration {
+        let ready = self.room.map_or(now, |room| room.ready);
+        ready.saturating_duration_since(now)
     }
 
     /// Returns the number of open slots last reported, or 1 without a report, since the upstream
--- a/crates/state/src/router/availability.rs
+++ b/crates/state/src/router/availability.rs
@@ -15,6 +15,8 @@
     pub slow: u32,
     /// Suspected of failing by their sidecars.
     pub suspected: u32,
+    /// Without room within the limits that they name.
+    pub limited: u32,
 }
 
 impl Availability {
@@ -27,12 +29,13 @@
     /// let availability = router::Availability { slow: 2, ..Default::default() };
     /// assert!(availability.by_state().contains(&("slow", 2)));
     /// ```
-    pub fn by_state(&self) -> [(&'static str, u32); 4] {
+    pub fn by_state(&self) -> [(&'static str, u32); 5] {
         [
             ("selectable", self.selectable),
             ("backed-off", self.backed_off),
             ("slow", self.slow),
             ("suspected", self.suspected),
+            ("limited", self.limited),
         ]
     }
 }
@@ -51,6 +54,8 @@
                 &mut availability.slow
             } else if is_suspected {
                 &mut availability.suspected
+            } else if !upstream.limit_wait(now).is_zero() {
+                &mut availability.limited
             } else {
                 &mut availability.selectable
             };
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -55,6 +55,13 @@
         indexes.iter().map(|&index| self.upstreams[index].candidate.slots).sum()
     }
 
+    /// Excludes upstreams whose limit has no room at the moment, unless that is true of all.
+    pub(super) fn filter_limited(&self, usable: Vec<usize>, now: time::Instant) -> Vec<usize> {
+        let has_room = |&index: &usize| self.upstreams[index].limit_wait(now).is_zero();
+        let with_room: Vec<usize> = usable.iter().copied().filter(has_room).collect();
+        if with_room.is_empty() { usable } else { with_room }
+    }
+
     /// Excludes upstreams whose effective latency far exceeds the median, as long as the remaining
     /// ones have enough of the `usable` slots for the floor.
     pub(super) fn filter_slow(
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -213,17 +213,19 @@
 
 #[test]
 fn availability_counts_each_upstream_by_the_reason_for_leaving_it_out() {
-    let mut router = router(&["a", "a", "a", "a"]);
+    let mut router = router(&["a", "a", "a", "a", "a"]);
     let now = time::Instant::now();
-    for n in 0..4 {
+    for n in 0..5 {
         let elapsed = time::Duration::from_millis(if n == 1 { 100 } else { 10 });
         let result = AttemptResult::Responded { elapsed, is_error: false };
         router.record_result(&candidate(n, "").id, result, now);
     }
     router.record_sidecar_failure("d0", now);
     router.record_failure_probability(&candidate(2, "").id, 0.9, now);
+    let room = request_limit::Room { rate: 1.0, wait: time::Duration::from_millis(500) };
+    router.record_room(&candidate(4, "").id, Some(room), now, &mut SmallRng::seed_from_u64(1));
     let (_, availability) = router.availability(now).next().expect("one service");
-    let expected = Availability { selectable: 1, backed_off: 1, slow: 1, suspected: 1 };
+    let expected = Availability { selectable: 1, backed_off: 1, slow: 1, suspected: 1, limited: 1 };
     assert_eq!(availability, expected);
 }
 
@@ -276,3 +278,33 @@
     let pool = &router.pools["s"];
     assert_eq!(pool.filter_slow(pool.usable(&criteria), &criteria), [4, 5, 6]);
 }
+
+/// Returns how many of ten picks at `at_ms` go to a limited upstream beside two others with the given
+/// rooms, all in milliseconds until there is room.
+fn picks_of_limited(own_ms: u64, others: Option<u64>, at_ms: u64) -> usize {
+    let mut router = router(&["a"; 3]);
+    let now = time::Instant::now();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let room = |ms| request_limit::Room { rate: 10.0, wait: time::Duration::from_millis(ms) };
+    router.record_room(&candidate(0, "").id, Some(room(own_ms)), now, &mut rng);
+    for n in 1..3 {
+        router.record_room(&candidate(n, "").id, others.map(room), now, &mut rng);
+    }
+    let at = now + time::Duration::from_millis(at_ms);
+    count_picks(&mut router, 10, &criteria(at))[0]
+}
+
+#[test_case::test_case(300, None, 0, 0..=0; "no room, others without a limit")]
+#[test_case::test_case(0, None, 0, 1..=1; "room for one")]
+#[test_case::test_case(300, None, 400, 1..=1; "room again")]
+#[test_case::test_case(0, Some(900), 0, 4..=10; "others without room")]
+#[test_case::test_case(900, Some(900), 0, 2..=5; "none has room")]
+fn limited_upstreams_are_picked_when_they_have_room(
+    own_ms: u64,
+    others: Option<u64>,
+    at_ms: u64,
+    expected: std::ops::RangeInclusive<usize>,
+) {
+    let picks = picks_of_limited(own_ms, others, at_ms);
+    assert!(expected.contains(&picks), "{picks} picks");
+}
--- a/crates/state/src/token_bucket.rs
+++ b/crates/state/src/token_bucket.rs
@@ -40,6 +40,34 @@
         true
     }
 
+    /// Takes `amount` units whether or not that many are available; missing ones are owed.
+    pub fn charge(&mut self, amount: f64, now: time::Instant) {
+        self.refill(now);
+        self.tokens -= amount;
+    }
+
+    /// Returns the time until `amount` units will have been available if no others are taken,
+    /// however large the burst is.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::token_bucket;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let mut bucket = token_bucket::TokenBucket::new(2.0, 1.0, now);
+    /// assert_eq!(bucket.wait(1.0, now), Duration::ZERO);
+    /// bucket.charge(2.0, now);
+    /// assert_eq!(bucket.wait(1.0, now), Duration::from_secs(1));
+    /// ```
+    pub fn wait(&self, amount: f64, now: time::Instant) -> time::Duration {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        let tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        let missing = (amount - tokens).max(0.0);
+        time::Duration::try_from_secs_f64(missing / self.rate).unwrap_or(time::Duration::MAX)
+    }
+
     /// Changes the rate and the burst; available units are kept, up to the new burst.
     pub fn set_rate(&mut self, rate: f64, burst: f64, now: time::Instant) {
         self.refill(now);
--- a/crates/transport/src/error_response.rs
+++ b/crates/transport/src/error_response.rs
@@ -1,5 +1,7 @@
 //! Responses that lynxmast itself generates for rejected and failed requests.
 
+use std::time;
+
 use bytes::Bytes;
 use http::HeaderValue;
 use http::header;
@@ -17,14 +19,18 @@
 /// Builds the response to a caller whose request was rejected or has failed.
 ///
 /// Reports the outcome in the status, in the outcome and reason headers and in a text body, with
-/// `Retry-After` if a later retry can succeed.
+/// `Retry-After` if a later retry can succeed: after `room`, if it is known when there is room, or
+/// else after the time that fits the rejection.
 pub fn for_outcome<C: clock::Clock>(
     outcome: outcome::Outcome,
+    room: Option<time::Duration>,
     scheme: &header_scheme::HeaderScheme,
 ) -> http::Response<body::ResponseBody<C>> {
     let (status, retry_after) = match outcome {
         outcome::Outcome::Answered => (200, None),
-        outcome::Outcome::NotRun(rejection) => (rejection.status(), rejection.retry_after()),
+        outcome::Outcome::NotRun(rejection) => {
+            (rejection.status(), room.or(rejection.retry_after()))
+        }
         outcome::Outcome::MayHaveRun(failure) => (failure.status(), None),
     };
     let text = Bytes::from(format!("{outcome}\n"));
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -191,6 +191,8 @@
 
 /// Longest random delay before a retry that follows a second failure.
 const RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(25);
+/// Shortest `Retry-After` of a request that was rejected for the limits of upstreams.
+const RETRY_AFTER_MIN: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of sidecars to which one request is sent.
 const CONTACTED_MAX: u32 = 16;
 
@@ -221,7 +223,7 @@
                 let outcome = outcome::Outcome::NotRun(rejection);
                 telemetry::log_rejection(id.as_ref(), outcome);
                 telemetry::count_outcome("", outcome);
-                return error_response::for_outcome(outcome, scheme);
+                return error_response::for_outcome(outcome, None, scheme);
             }
         };
         let service = context.route_match.service.name.clone();
@@ -239,11 +241,20 @@
             }
             Err(end) => {
                 telemetry::count_outcome(&service, end.outcome());
-                error_response::for_outcome(end.outcome(), &self.identity.header_scheme)
+                error_response::for_outcome(end.outcome(), self.next_room(&service, end), scheme)
             }
         }
     }
 
+    /// Returns when a caller that was rejected for the limits of upstreams may come back.
+    fn next_room(&self, service: &str, end: retry::AttemptEnd) -> Option<time::Duration> {
+        if end != retry::AttemptEnd::NotRun(outcome::Rejection::Limited) {
+            return None;
+        }
+        let room = self.shared.router().next_room(service, self.shared.now());
+        room.map(|wait| wait.max(RETRY_AFTER_MIN))
+    }
+
     /// Does periodic work: closes connections to sidecars of daemons that have left the membership.
     pub fn tick(&self) {
         let sidecars: Vec<_> =
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -141,7 +141,9 @@
         let now = self.shared.now();
         let id = &outstanding.candidate.id;
         if let Some(load) = report.load {
-            self.shared.router().record_load(id, load, now);
+            let mut router = self.shared.router();
+            router.record_load(id, load, now);
+            router.record_room(id, report.room, now, &mut rand::rng());
         }
         if let Some(percent) = report.failure_percent {
             self.shared.router().record_failure_probability(id, f64::from(percent) / 100.0, now);
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -139,6 +139,7 @@
         };
         let now = now.max(self.shared.now());
         let failure_percent = upstream.as_ref().map(|upstream| upstream.failure_percent(now));
+        let room = upstream.as_ref().and_then(|upstream| upstream.room(now));
         let load = upstream.map(|upstream| upstream.load(now));
         let end = result.as_ref().err().copied();
         let policy = self.shared.policy().version;
@@ -150,6 +151,7 @@
             failure_percent,
             dependency_failed,
             crashed,
+            room,
             policy,
         };
         AttemptResponse { result, report }
@@ -429,6 +431,7 @@
         let upstream = slot.upstream();
         upstream.pool.close_idle();
         let fresh = upstream.pool.connect().await.map_err(retry::AttemptEnd::NotRun)?;
+        upstream.charge_resend();
         let pending = forwarding::forward(slot, fresh, request);
         let timed_out = Err(retry::AttemptEnd::MayHaveRun(outcome::Failure::Deadline));
         let result =
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -91,6 +91,7 @@
             failure_percent,
             dependency_failed,
             crashed: None,
+            room: None,
             policy,
         };
         report.write(response.headers_mut());
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -12,6 +12,7 @@
 use lynxmast_state::load;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
+use lynxmast_state::request_limit;
 use tokio::sync::oneshot;
 
 use crate::pool;
@@ -44,8 +45,6 @@
     crashed: sync::Mutex<ids::Incarnation>,
     /// Last time at which the backend server responded or accepted a connection.
     last_response: sync::Mutex<time::Instant>,
-    /// Requests per second that the backend server accepts; `None` if it names no limit.
-    limit: sync::Mutex<Option<f64>>,
     /// Whether the backend server has stated in a response that it is about to leave.
     leaving: atomic::AtomicBool,
 }
@@ -136,7 +135,6 @@
             liveness: Default::default(),
             crashed: Default::default(),
             last_response,
-            limit: Default::default(),
             leaving: Default::default(),
         }
     }
@@ -178,9 +176,8 @@
         self.lease_revoked.store(false, atomic::Ordering::Release);
         let previous = std::mem::replace(&mut *lock(&self.lease), lease);
         if incarnation > previous.incarnation {
-            lock(&self.admission).restart_ramp(renewed);
+            lock(&self.admission).restart(renewed);
             *lock(&self.detector) = outlier::Detector::new(renewed);
-            *lock(&self.limit) = None;
             self.leaving.store(false, atomic::Ordering::Release);
             self.pool.close_idle();
         }
@@ -275,7 +272,7 @@
                 return;
             }
         };
-        let previous = std::mem::replace(&mut *lock(&self.limit), named);
+        let previous = lock(&self.admission).set_request_limit(named, self.clock.now());
         if previous != named {
             log::info!(
                 event = "upstream-limit",
@@ -289,7 +286,17 @@
 
     /// Returns the requests per second that the backend server accepts, if it names a limit.
     pub fn limit(&self) -> Option<f64> {
-        *lock(&self.limit)
+        lock(&self.admission).request_limit()
+    }
+
+    /// Returns what the limit leaves for another request; `None` without a limit.
+    pub fn room(&self, now: time::Instant) -> Option<request_limit::Room> {
+        lock(&self.admission).room(now)
+    }
+
+    /// Counts a request towards the limit that is sent again under the slot that it has.
+    pub fn charge_resend(&self) {
+        lock(&self.admission).charge_resend(self.clock.now());
     }
 
     /// Records that the backend server has stated in a response that it is about to leave. Returns
