Drain an upstream that states in a response that it leaves

An upstream that said in its responses that it was about to leave, while its heartbeats said ready, went on getting requests: 50 in the 2 s after the time in which it had to become free.

Cause: only heartbeats and departures drained an upstream. The field in its responses was passed on to callers and read by nobody.

The sidecar now drains the upstream at the first such response and reports its incarnation with the response; ingresses remember it, as a sidecar that has restarted would take the next heartbeat for a new upstream. Heartbeats of the drained incarnation are acknowledged and change nothing.

--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -142,6 +142,8 @@
     pub crashed: Option<ids::Incarnation>,
     /// What the limit of the upstream leaves for further requests; `None` if it names no limit.
     pub room: Option<request_limit::Room>,
+    /// Incarnation of the upstream that has stated in a response that it is about to leave.
+    pub leaving: Option<ids::Incarnation>,
     /// Version of the policy that is active at the sidecar.
     pub policy: ids::PolicyVersion,
 }
@@ -171,6 +173,9 @@
         if let Some(room) = self.room {
             put(headers, header::ROOM, &room.to_string());
         }
+        if let Some(incarnation) = self.leaving {
+            put(headers, header::LEAVING_INCARNATION, &incarnation.to_string());
+        }
     }
 
     /// Reads a report from a response's headers.
@@ -203,6 +208,7 @@
             dependency_failed,
             crashed: single(headers, header::CRASHED),
             room: single(headers, header::ROOM),
+            leaving: single(headers, header::LEAVING_INCARNATION),
             policy: get(headers, header::POLICY_VERSION)?,
         })
     }
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -19,6 +19,7 @@
         dependency_failed: true,
         crashed: Some(3),
         room: Some(request_limit::Room { rate: 3.3, wait: time::Duration::from_millis(20) }),
+        leaving: Some(4),
         policy: 9,
     };
     let mut headers = HeaderMap::new();
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -53,6 +53,8 @@
 /// Sidecar to ingress: what the limit of the upstream leaves for further requests, in the format of
 /// `lynxmast_state::request_limit`.
 pub const ROOM: &str = "lynxmast-room";
+/// Sidecar to ingress: incarnation of the upstream that has stated that it is about to leave.
+pub const LEAVING_INCARNATION: &str = "lynxmast-leaving-incarnation";
 /// Sidecar to ingress: load of the upstream, in the format of `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Sidecar to ingress: microseconds from forwarding the request to receiving the response head.
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -110,6 +110,9 @@
     domain: ids::DomainName,
     balance: Balance,
     pools: IndexMap<ids::ServiceName, Pool>,
+    /// Upstreams that have stated in responses that they are about to leave, oldest first. Their
+    /// sidecars may have restarted since and not know it.
+    leaving: IndexMap<ids::UpstreamId, ids::Incarnation>,
 }
 
 /// Upstreams of one service.
@@ -175,6 +178,8 @@
 const ERROR_COST_FACTOR: f64 = 50.0;
 /// Number of successful requests assumed in addition to the recorded results.
 const ERROR_PRIOR_SAMPLES: f64 = 2.0;
+/// Maximum number of leaving upstreams that an ingress remembers.
+const LEAVING_MAX: usize = 1024;
 /// Time after the room of a limited upstream over which the ingresses spread their requests, as a
 /// multiple of the time between two requests within the limit.
 const ROOM_SPREAD: f64 = 1.0;
@@ -184,13 +189,13 @@
 impl Router {
     /// Returns a router without upstreams for the ingress of `daemon` in failure domain `domain`.
     pub fn new(daemon: ids::DaemonName, domain: ids::DomainName, balance: Balance) -> Self {
-        Self { daemon, domain, balance, pools: IndexMap::new() }
+        Self { daemon, domain, balance, pools: IndexMap::new(), leaving: IndexMap::new() }
     }
 
     /// Replaces the candidates and keeps the statistics of those that remain.
     pub fn sync(&mut self, candidates: Vec<Candidate>) {
         let mut by_service: IndexMap<ids::ServiceName, Vec<Candidate>> = IndexMap::new();
-        for candidate in candidates {
+        for candidate in candidates.into_iter().filter(|candidate| !self.is_leaving(candidate)) {
             by_service.entry(candidate.id.service.clone()).or_default().push(candidate);
         }
         self.pools.retain(|name, _| by_service.contains_key(name));
@@ -310,6 +315,29 @@
         }
     }
 
+    /// Records that an upstream has stated in a response that it is about to leave. It is no longer
+    /// selected under any incarnation up to this one.
+    pub fn record_leaving(&mut self, id: &ids::UpstreamId, incarnation: ids::Incarnation) {
+        if self.leaving.get(id).is_some_and(|known| *known >= incarnation) {
+            return;
+        }
+        if self.leaving.len() >= LEAVING_MAX {
+            self.leaving.shift_remove_index(0);
+        }
+        self.leaving.shift_remove(id);
+        self.leaving.insert(id.clone(), incarnation);
+        let Some(pool) = self.pools.get_mut(&id.service) else { return };
+        let upstream = pool.upstreams.get(&id.address);
+        if upstream.is_some_and(|upstream| upstream.candidate.incarnation <= incarnation) {
+            pool.upstreams.swap_remove(&id.address);
+        }
+    }
+
+    fn is_leaving(&self, candidate: &Candidate) -> bool {
+        let leaving = self.leaving.get(&candidate.id);
+        leaving.is_some_and(|incarnation| candidate.incarnation <= *incarnation)
+    }
+
     /// Returns the time until the limit of one of the upstreams of a service has room; `None` if no
     /// upstream names a limit.
     pub fn next_room(&self, service: &str, now: time::Instant) -> Option<time::Duration> {
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -308,3 +308,22 @@
     let picks = picks_of_limited(own_ms, others, at_ms);
     assert!(expected.contains(&picks), "{picks} picks");
 }
+
+// Guards against an ingress that forgets a leaving upstream when its sidecar restarts.
+#[test]
+fn a_leaving_upstream_is_not_picked_until_a_newer_incarnation() {
+    let mut router = router(&["a"]);
+    let now = time::Instant::now();
+    let leaving = candidate(0, "a");
+    let is_picked = |router: &mut Router| {
+        router.pick(&criteria(now), &mut SmallRng::seed_from_u64(5)).is_some()
+    };
+    router.record_leaving(&leaving.id, leaving.incarnation);
+    assert!(!is_picked(&mut router));
+    router.sync(vec![Candidate { daemon_incarnation: 2, ..leaving.clone() }]);
+    assert!(!is_picked(&mut router));
+    router.sync(vec![Candidate { incarnation: 2, ..leaving.clone() }]);
+    assert!(is_picked(&mut router));
+    router.record_leaving(&leaving.id, leaving.incarnation);
+    assert!(is_picked(&mut router), "a late notice of the previous incarnation");
+}
--- a/crates/testing/tests/upstream_notices.rs
+++ b/crates/testing/tests/upstream_notices.rs
@@ -157,8 +157,9 @@
     backends[0].keep_announcing(listen.beside);
     fleet
         .wait_until(|fleet| {
-            let candidates = fleet.daemons[IN_SAME_DOMAIN].shared.router().candidates("s");
-            candidates.iter().any(|candidate| candidate.sidecar == listen.gate)
+            let membership = fleet.daemons[IN_SAME_DOMAIN].shared.membership();
+            let mut records = membership.all_records();
+            records.any(|record| record.sidecar == listen.gate && !record.upstreams.is_empty())
         })
         .await;
     let caller = caller::Caller::new(fleet.ingress_address(IN_SAME_DOMAIN));
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -145,6 +145,9 @@
             router.record_load(id, load, now);
             router.record_room(id, report.room, now, &mut rand::rng());
         }
+        if let Some(incarnation) = report.leaving {
+            self.shared.router().record_leaving(id, incarnation);
+        }
         if let Some(percent) = report.failure_percent {
             self.shared.router().record_failure_probability(id, f64::from(percent) / 100.0, now);
         }
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -139,6 +139,7 @@
         };
         let now = now.max(self.shared.now());
         let failure_percent = upstream.as_ref().map(|upstream| upstream.failure_percent(now));
+        let leaving = upstream.as_ref().and_then(|upstream| upstream.leaving());
         let room = upstream.as_ref().and_then(|upstream| upstream.room(now));
         let load = upstream.map(|upstream| upstream.load(now));
         let end = result.as_ref().err().copied();
@@ -152,6 +153,7 @@
             dependency_failed,
             crashed,
             room,
+            leaving,
             policy,
         };
         AttemptResponse { result, report }
@@ -176,7 +178,8 @@
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::DeadlineBeforeRun));
         }
         let exchange_id = self.exchange_id(request.headers());
-        let instance = upstream.lease().instance;
+        let lease = upstream.lease();
+        let instance = lease.instance.clone();
         let headers = forwarding::ForwardHeaders {
             scheme: &self.header_scheme,
             exchange_id: &exchange_id,
@@ -193,13 +196,15 @@
         observed.elapsed = Some(self.shared.now().saturating_duration_since(started));
         let checked = forwarding::check_response(&response, &connection, &headers, no_body);
         let returned_id = checked.inspect_err(|end| recorder.record_end(*end))?;
-        upstream.record_limit(self.header_scheme.limit(response.headers()));
-        if self.header_scheme.is_leaving(response.headers()) {
-            upstream.record_leaving();
+        let rejection = forwarding::rejection(&response, &headers);
+        if rejection != Some(outcome::Rejection::Misdirected)
+            && upstream.lease().incarnation == lease.incarnation
+        {
+            self.record_notices(upstream, response.headers());
         }
         upstream.record_response();
         connection.apply_keep_alive(response.headers());
-        if let Some(rejection) = forwarding::rejection(&response, &headers) {
+        if let Some(rejection) = rejection {
             recorder.record_end(retry::AttemptEnd::NotRun(rejection));
             if rejection == outcome::Rejection::Misdirected {
                 upstream.revoke_lease(instance.as_ref());
@@ -228,6 +233,16 @@
         Ok(http::Response::from_parts(parts, body))
     }
 
+    /// Acts on what the backend server states about itself in a response: its limit, and that it is
+    /// about to leave, which drains it like a departure.
+    fn record_notices(&self, upstream: &upstream::Upstream<C>, headers: &http::HeaderMap) {
+        upstream.record_limit(self.header_scheme.limit(headers));
+        if self.header_scheme.is_leaving(headers) && upstream.record_leaving() {
+            upstream.drain();
+            self.publish();
+        }
+    }
+
     /// Forwards a request and waits for the response head. If a reused connection does not respond
     /// within the silence timeout, a request without a body is sent again on a new one, provided
     /// that the ingress allows it to be resent.
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -94,6 +94,11 @@
                 format!("a newer incarnation has announced itself ({})", previous.incarnation);
             return Err(reason);
         }
+        if announcement.incarnation == previous.incarnation && existing.leaving().is_some() {
+            // It stays drained, but lives on until it has run its requests.
+            existing.renew(lease);
+            return Ok(());
+        }
         if announcement.incarnation == previous.incarnation && existing.is_draining() {
             return Err("this incarnation has announced its departure".into());
         }
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -92,6 +92,7 @@
             dependency_failed,
             crashed: None,
             room: None,
+            leaving: None,
             policy,
         };
         report.write(response.headers_mut());
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -314,6 +314,13 @@
         is_new
     }
 
+    /// Returns the incarnation that has stated that it is about to leave, if it still has the
+    /// address.
+    pub fn leaving(&self) -> Option<ids::Incarnation> {
+        let is_leaving = self.leaving.load(atomic::Ordering::Acquire);
+        is_leaving.then(|| self.lease().incarnation)
+    }
+
     /// Records that the backend server runs.
     pub fn record_response(&self) {
         *lock(&self.last_response) = self.clock.now();
