End responses of unknown length at the request's deadline

Cause: the deadline covered the response head only, and the stall timeout only bodies that make no progress.

A body without a known length now ends at the request's deadline, visibly incomplete; the connection to the backend server is closed and the response counts as a failure of the upstream. Bodies of known length may take longer.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -10,6 +10,7 @@
 use lynxmast_state::router;
 
 use crate::body_error;
+use crate::cutoff;
 use crate::exchange;
 use crate::ingress;
 use crate::replay;
@@ -34,9 +35,9 @@
     /// A complete body in memory.
     Full(Bytes),
     /// From the local sidecar.
-    Local(exchange::SidecarBody<C>, ingress::OutstandingRequest<C>),
+    Local(exchange::SidecarBody<C>, ingress::OutstandingRequest<C>, cutoff::Cutoff),
     /// From another daemon's sidecar.
-    Remote(stall_timeout::StallTimeoutBody, ingress::OutstandingRequest<C>),
+    Remote(stall_timeout::StallTimeoutBody, ingress::OutstandingRequest<C>, cutoff::Cutoff),
 }
 
 impl Body for RequestBody {
@@ -71,13 +72,25 @@
     }
 }
 
-/// Reports a stalled or truncated response body as a failure of its upstream.
+/// Polls a response body, unless its time is over.
+fn poll_before_cutoff(
+    body: pin::Pin<&mut impl Body<Data = Bytes, Error = body_error::BodyError>>,
+    cutoff: &mut cutoff::Cutoff,
+    cx: &mut task::Context<'_>,
+) -> body_error::PolledFrame {
+    match cutoff.poll_reached(cx) {
+        task::Poll::Ready(()) => task::Poll::Ready(Some(Err(body_error::BodyError::Endless))),
+        task::Poll::Pending => body.poll_frame(cx),
+    }
+}
+
+/// Reports a stalled, truncated or endless response body as a failure of its upstream.
 fn report_broken_body<C: clock::Clock>(
     polled: body_error::PolledFrame,
     outstanding: &mut ingress::OutstandingRequest<C>,
 ) -> body_error::PolledFrame {
-    use body_error::BodyError::{Stalled, Truncated};
-    if matches!(polled, task::Poll::Ready(Some(Err(Stalled | Truncated)))) {
+    use body_error::BodyError::{Endless, Stalled, Truncated};
+    if matches!(polled, task::Poll::Ready(Some(Err(Stalled | Truncated | Endless)))) {
         outstanding.set_result(router::AttemptResult::Failed);
     }
     polled
@@ -98,11 +111,13 @@
                 let frame = (!bytes.is_empty()).then(|| Ok(body::Frame::data(bytes)));
                 task::Poll::Ready(frame)
             }
-            ResponseBody::Local(body, outstanding) => {
-                report_broken_body(pin::Pin::new(body).poll_frame(cx), outstanding)
+            ResponseBody::Local(body, outstanding, cutoff) => {
+                let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
+                report_broken_body(polled, outstanding)
             }
-            ResponseBody::Remote(body, outstanding) => {
-                report_broken_body(pin::Pin::new(body).poll_frame(cx), outstanding)
+            ResponseBody::Remote(body, outstanding, cutoff) => {
+                let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
+                report_broken_body(polled, outstanding)
             }
         }
     }
@@ -111,8 +126,8 @@
         match self {
             ResponseBody::Empty => true,
             ResponseBody::Full(bytes) => bytes.is_empty(),
-            ResponseBody::Local(body, _) => body.is_end_stream(),
-            ResponseBody::Remote(body, _) => body.is_end_stream(),
+            ResponseBody::Local(body, ..) => body.is_end_stream(),
+            ResponseBody::Remote(body, ..) => body.is_end_stream(),
         }
     }
 
@@ -120,8 +135,8 @@
         match self {
             ResponseBody::Empty => body::SizeHint::with_exact(0),
             ResponseBody::Full(bytes) => body::SizeHint::with_exact(bytes.len() as u64),
-            ResponseBody::Local(body, _) => body.size_hint(),
-            ResponseBody::Remote(body, _) => body.size_hint(),
+            ResponseBody::Local(body, ..) => body.size_hint(),
+            ResponseBody::Remote(body, ..) => body.size_hint(),
         }
     }
 }
--- a/crates/transport/src/body_error.rs
+++ b/crates/transport/src/body_error.rs
@@ -20,6 +20,8 @@
     Superseded,
     /// exchange ended before the body was complete
     Cancelled,
+    /// body of unknown length had not ended at the deadline
+    Endless,
 }
 
 impl std::error::Error for BodyError {}
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -7,6 +7,7 @@
 use http::header;
 use http_body::Body;
 use http_body_util::BodyExt;
+use hyper::body as body_size;
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
@@ -16,6 +17,7 @@
 
 use crate::body;
 use crate::body_error;
+use crate::cutoff;
 use crate::hop;
 use crate::ingress;
 use crate::peers;
@@ -65,7 +67,7 @@
         let service = &context.route_match.service.name;
         self.shared
             .with_traffic(service, |traffic| traffic.latency_p95.record(elapsed.as_secs_f64()));
-        let result = buffer_small(track(response, outstanding)).await;
+        let result = buffer_small(track(response, outstanding, context.deadline)).await;
         result.map_err(retry::AttemptEnd::MayHaveRun)
     }
 
@@ -218,14 +220,26 @@
     request
 }
 
-/// Attaches the outstanding request to the response body, so that it ends with the body.
+/// Attaches the outstanding request to the response body, so that it ends with the body. A body of
+/// unknown length ends at the `deadline`, as it may have no end of its own.
 fn track<C: clock::Clock>(
     response: http::Response<UntrackedBody<C>>,
     outstanding: ingress::OutstandingRequest<C>,
+    deadline: time::Instant,
 ) -> http::Response<body::ResponseBody<C>> {
+    let cutoff = |size: body_size::SizeHint| match size.exact() {
+        Some(_) => cutoff::Cutoff::default(),
+        None => cutoff::Cutoff::at(deadline),
+    };
     response.map(|untracked| match untracked {
-        UntrackedBody::Local(body) => body::ResponseBody::Local(body, outstanding),
-        UntrackedBody::Remote(body) => body::ResponseBody::Remote(body, outstanding),
+        UntrackedBody::Local(body) => {
+            let cutoff = cutoff(body.size_hint());
+            body::ResponseBody::Local(body, outstanding, cutoff)
+        }
+        UntrackedBody::Remote(body) => {
+            let cutoff = cutoff(body.size_hint());
+            body::ResponseBody::Remote(body, outstanding, cutoff)
+        }
     })
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod body_error;
 pub mod client;
+pub mod cutoff;
 pub mod error_response;
 pub mod exchange;
 pub mod hop;
