Play limits and leaving notices in the soak

Backend servers name a limit of 5 requests a second, or state that they leave and are replaced at the end of the fault. A violation is recorded if a limited one gets more than one and a half times the limit and 10 requests, from 1 s after it named the limit.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -26,6 +26,8 @@
     /// Crashed backend servers, kept because their runs still count.
     crashed: Vec<backend::Backend>,
     edits: u64,
+    /// Violations found while faults were injected.
+    violations: Vec<String>,
 }
 
 /// Daemon with its local backend server and the fault proxies in front of its ports.
@@ -57,6 +59,14 @@
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Time from a crash that a request has caused to the start of another backend server.
 const CRASH_DOWNTIME: time::Duration = time::Duration::from_secs(1);
+/// Limit in requests per second that a backend server names.
+const LIMIT: f64 = 5.0;
+const LIMIT_TEXT: &str = "5";
+/// Time after which every daemon knows a limit.
+const LIMIT_NOTICE_TIME: time::Duration = time::Duration::from_secs(1);
+/// Requests above one and a half times the limit that are tolerated, including those of a sidecar
+/// that restarts.
+const LIMIT_EXCESS_MAX: f64 = 10.0;
 const PROXY_DELAY: time::Duration = time::Duration::from_millis(80);
 static FLEETS_STARTED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
@@ -97,7 +107,7 @@
             let node = Node::start(plan, settings_file, index, log.address, &peers, ports).await;
             nodes.push(node.map_err(|error| format!("cannot start daemon {index}: {error}"))?);
         }
-        let fleet = Self { log, nodes, crashed: Vec::new(), edits: 0 };
+        let fleet = Self { log, nodes, crashed: Vec::new(), edits: 0, violations: Vec::new() };
         for node in &fleet.nodes {
             node.backend.keep_announcing(node.process.ports.local);
         }
@@ -194,6 +204,8 @@
             BackendHang => node.backend.reconfigure(|b| b.hang_rate = 1.0),
             BackendTruncation => node.backend.reconfigure(|b| b.truncation_rate = 0.3),
             BackendCrash => node.backend.crash(),
+            BackendLimit => node.backend.reconfigure(|b| b.limit = Some(LIMIT_TEXT)),
+            BackendLeaving => node.backend.reconfigure(|b| b.is_leaving = true),
             PolicyEdit => self.publish_edit().await,
         }
     }
@@ -217,11 +229,29 @@
                     .backend
                     .reconfigure(|behaviour| *behaviour = healthy_behaviour());
             }
-            BackendCrash => self.replace_backend(fault.daemon).await,
+            BackendLimit => self.end_limit(fault),
+            BackendCrash | BackendLeaving => self.replace_backend(fault.daemon).await,
             ReloadSettings | Blackhole | CloseConnections | PolicyEdit => {}
         }
     }
 
+    /// Ends the limit of a backend server, and records a violation if it got too many requests.
+    fn end_limit(&mut self, fault: &schedule::Fault) {
+        let backend = &self.nodes[fault.daemon].backend;
+        backend.reconfigure(|behaviour| behaviour.limit = None);
+        let counted = fault.length.saturating_sub(LIMIT_NOTICE_TIME);
+        let from = time::Instant::now() - counted;
+        let count = backend.arrivals().iter().filter(|at| **at >= from).count();
+        let allowed = 1.5 * LIMIT * counted.as_secs_f64() + LIMIT_EXCESS_MAX;
+        if count as f64 > allowed {
+            let (daemon, limit) = (fault.daemon, LIMIT_TEXT);
+            self.violations.push(format!(
+                "the backend server of daemon {daemon} got {count} requests in {counted:?} at a \
+                 limit of {limit} a second"
+            ));
+        }
+    }
+
     /// Restarts a daemon once its old process has exited. The old process is resumed first, as an
     /// overlapping fault may have suspended it, and is killed if it does not exit after SIGTERM.
     async fn restart(&mut self, daemon: usize) {
@@ -288,12 +318,13 @@
         all
     }
 
-    /// Terminates all daemons. Returns a violation for each daemon that does not exit.
+    /// Terminates all daemons. Returns the violations found so far, and one for each daemon that does
+    /// not exit.
     pub async fn shut_down(mut self) -> Vec<String> {
         for node in &mut self.nodes {
             node.process.signal(process::Signal::Terminate);
         }
-        let mut violations = Vec::new();
+        let mut violations = std::mem::take(&mut self.violations);
         for (daemon, node) in self.nodes.iter_mut().enumerate() {
             if !node.process.wait_for_exit().await {
                 violations.push(format!("daemon {daemon} does not exit within 8 s of SIGTERM"));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -55,11 +55,16 @@
     BackendTruncation,
     /// The backend server crashes, and is replaced at the end of the fault.
     BackendCrash,
+    /// The backend server names a limit on its requests per second.
+    BackendLimit,
+    /// The backend server states in its responses that it leaves, and is replaced at the end of the
+    /// fault.
+    BackendLeaving,
     /// A policy edit is published.
     PolicyEdit,
 }
 
-const KINDS: [Kind; 17] = [
+const KINDS: [Kind; 19] = [
     Kind::Kill,
     Kind::Terminate,
     Kind::Suspend,
@@ -76,6 +81,8 @@
     Kind::BackendHang,
     Kind::BackendTruncation,
     Kind::BackendCrash,
+    Kind::BackendLimit,
+    Kind::BackendLeaving,
     Kind::PolicyEdit,
 ];
 /// Longest time between the starts of two successive faults. Most faults last longer than this, so
