--- a/crates/state/src/quarantine.rs
+++ b/crates/state/src/quarantine.rs
@@ -106,8 +106,8 @@
 impl Quarantine {
     /// Returns whether any request with this head hash is suspected.
     pub fn is_suspected_head(&self, head: u64) -> bool {
-        let with_head = self.suspects.iter().filter(|(fingerprint, _)| fingerprint.head == head);
-        with_head.into_iter().any(|(_, record)| record.is_suspected())
+        let mut suspects = self.suspects.iter();
+        suspects.any(|(request, record)| request.head == head && record.is_suspected())
     }
 
     /// Returns whether a copy of a request may be sent to an upstream. After the quarantine, this
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -7,7 +7,7 @@
 use http::header;
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body as body_size;
+use hyper::body as hyper_body;
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
 use lynxmast_state::clock;
@@ -227,7 +227,7 @@
     outstanding: ingress::OutstandingRequest<C>,
     deadline: time::Instant,
 ) -> http::Response<body::ResponseBody<C>> {
-    let cutoff = |size: body_size::SizeHint| match size.exact() {
+    let cutoff = |size: hyper_body::SizeHint| match size.exact() {
         Some(_) => cutoff::Cutoff::default(),
         None => cutoff::Cutoff::at(deadline),
     };
