--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -37,6 +37,8 @@
     sidecar_proxy: fault_proxy::FaultProxy,
     control_proxy: fault_proxy::FaultProxy,
     incarnation: u64,
+    /// Whether the backend server has named a limit since the start of the fault that set it.
+    is_limited: bool,
 }
 
 /// Host of all soak requests.
@@ -204,7 +206,10 @@
             BackendHang => node.backend.reconfigure(|b| b.hang_rate = 1.0),
             BackendTruncation => node.backend.reconfigure(|b| b.truncation_rate = 0.3),
             BackendCrash => node.backend.crash(),
-            BackendLimit => node.backend.reconfigure(|b| b.limit = Some(LIMIT_TEXT)),
+            BackendLimit => {
+                node.backend.reconfigure(|b| b.limit = Some(LIMIT_TEXT));
+                node.is_limited = true;
+            }
             BackendLeaving => node.backend.reconfigure(|b| b.is_leaving = true),
             PolicyEdit => self.publish_edit().await,
         }
@@ -225,9 +230,9 @@
             }
             LogDown | LogLosesResponses | LogSlow => self.log.set_faults(Default::default()),
             BackendErrors | BackendHang | BackendTruncation => {
-                self.nodes[fault.daemon]
-                    .backend
-                    .reconfigure(|behaviour| *behaviour = healthy_behaviour());
+                let node = &mut self.nodes[fault.daemon];
+                node.backend.reconfigure(|behaviour| *behaviour = healthy_behaviour());
+                node.is_limited = false;
             }
             BackendLimit => self.end_limit(fault),
             BackendCrash | BackendLeaving => self.replace_backend(fault.daemon).await,
@@ -237,7 +242,12 @@
 
     /// Ends the limit of a backend server, and records a violation if it got too many requests.
     fn end_limit(&mut self, fault: &schedule::Fault) {
-        let backend = &self.nodes[fault.daemon].backend;
+        let node = &mut self.nodes[fault.daemon];
+        // The end of another fault may have replaced the backend server or reset its behaviour.
+        if !std::mem::take(&mut node.is_limited) {
+            return;
+        }
+        let backend = &node.backend;
         backend.reconfigure(|behaviour| behaviour.limit = None);
         let counted = fault.length.saturating_sub(LIMIT_NOTICE_TIME);
         let from = time::Instant::now() - counted;
@@ -273,6 +283,7 @@
     async fn replace_backend(&mut self, daemon: usize) {
         let node = &mut self.nodes[daemon];
         node.incarnation += 1;
+        node.is_limited = false;
         node.backend.crash();
         let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let replacement =
@@ -362,7 +373,14 @@
         let process =
             process::Process::start(&plan.daemon, settings_file, &settings, ports, log_file)?;
         let backend = backend::Backend::start(SERVICE, healthy_behaviour()).await;
-        Ok(Self { process, backend, sidecar_proxy, control_proxy, incarnation: 1 })
+        Ok(Self {
+            process,
+            backend,
+            sidecar_proxy,
+            control_proxy,
+            incarnation: 1,
+            is_limited: false,
+        })
     }
 
     fn proxies(&self) -> impl Iterator<Item = &fault_proxy::FaultProxy> {
