Read the reserve of retries as a fraction

Cause: the platform scales the reserve with the size of a deployment, so it may be 25.29. Tests cover every number and duration of the template in whole and fractional form, and values out of range. Result: a_reserve_may_be_a_fraction did not compile before (u32).

--- a/crates/lynxmastd/src/reload/tests.rs
+++ b/crates/lynxmastd/src/reload/tests.rs
@@ -28,6 +28,6 @@
     let services = format!("{VALID}service = 'shop'\n[services]\nretry-reserve = 7\n");
     check(&services, true, ReloadResult::InForce);
     check(&services, false, ReloadResult::Unchanged);
-    assert_eq!(applied.into_inner(), [7]);
+    assert_eq!(applied.into_inner(), [7.0]);
     fs::remove_file(&file).expect("the file exists");
 }
--- a/crates/lynxmastd/src/settings.rs
+++ b/crates/lynxmastd/src/settings.rs
@@ -56,7 +56,7 @@
         /// Fleet-wide retry budget: retries per first attempt, 0 to 1.
         pub retry_ratio: f64,
         /// Retries beyond the ratio that the whole fleet may make within `retry_window`.
-        pub retry_reserve: u32,
+        pub retry_reserve: f64,
         /// Time window of `retry_reserve`.
         #[serde(
             deserialize_with = "deserialize_duration",
@@ -136,7 +136,7 @@
 impl Default for Services {
     fn default() -> Self {
         let retry_window = time::Duration::from_secs(10);
-        Self { retry_ratio: 0.1, retry_reserve: 0, retry_window, floor_share: 0.0 }
+        Self { retry_ratio: 0.1, retry_reserve: 0.0, retry_window, floor_share: 0.0 }
     }
 }
 
@@ -200,6 +200,7 @@
 const CONNECTIONS_MAX: usize = 1_000_000;
 const HEARTBEAT_MIN: time::Duration = time::Duration::from_millis(100);
 const HEARTBEAT_MAX: time::Duration = time::Duration::from_secs(60);
+const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
 const RETRY_WINDOW_MIN: time::Duration = time::Duration::from_millis(100);
 const RETRY_WINDOW_MAX: time::Duration = time::Duration::from_secs(600);
 const SHUTDOWN_MAX: time::Duration = time::Duration::from_secs(24 * 3600);
@@ -292,6 +293,8 @@
             "retry-ratio",
             "is not in the range 0 to 1",
         );
+        let reserve_ok = (0.0..=RETRY_RESERVE_MAX).contains(&self.services.retry_reserve);
+        require(reserve_ok, services, "retry-reserve", "is not in the range 0 to 1000000");
         let window_ok = (RETRY_WINDOW_MIN..=RETRY_WINDOW_MAX).contains(&self.services.retry_window);
         require(window_ok, services, "retry-window", "is not in the range 100ms to 10m");
         require(
--- a/crates/lynxmastd/src/settings/tests.rs
+++ b/crates/lynxmastd/src/settings/tests.rs
@@ -43,3 +43,43 @@
     let keys: Vec<&str> = problems.iter().map(|problem| problem.key.as_str()).collect();
     assert_eq!(keys, ["name", "domain", "secret", "log"]);
 }
+
+#[test_case("retry-reserve = 25", 25.0; "whole reserve")]
+#[test_case("retry-reserve = 25.294117647058822", 25.294117647058822; "fractional reserve")]
+#[test_case("retry-reserve = 0", 0.0; "no reserve")]
+fn a_reserve_may_be_a_fraction(line: &str, expected: f64) {
+    let settings = Settings::parse(&format!("{VALID}[services]\n{line}\n"));
+    assert_eq!(settings.expect("the settings are valid").services.retry_reserve, expected);
+}
+
+#[test_case("0", 0.0; "zero")]
+#[test_case("1", 1.0; "whole")]
+#[test_case("0.2", 0.2; "fractional")]
+#[test_case("1.0", 1.0; "whole with a fraction")]
+fn a_fraction_may_be_written_as_an_integer(number: &str, expected: f64) {
+    let text = format!("{VALID}[services]\nretry-ratio = {number}\nfloor-share = {number}\n");
+    let services = Settings::parse(&text).expect("the settings are valid").services;
+    assert_eq!((services.retry_ratio, services.floor_share), (expected, expected));
+}
+
+#[test_case("10s", 10_000; "whole seconds")]
+#[test_case("2.5s", 2_500; "fractional seconds")]
+#[test_case("1500ms", 1_500; "milliseconds")]
+#[test_case("1500.5ms", 1_500; "fractional milliseconds")]
+fn a_duration_may_be_a_fraction(duration: &str, expected_ms: u128) {
+    let text = format!(
+        "{VALID}heartbeat = '{duration}'\n[services]\nretry-window = '{duration}'\n[limits]\nshutdown = '{duration}'\n"
+    );
+    let settings = Settings::parse(&text).expect("the settings are valid");
+    let durations = [settings.heartbeat, settings.services.retry_window, settings.limits.shutdown];
+    assert_eq!(durations.map(|duration| duration.as_millis()), [expected_ms; 3]);
+}
+
+#[test_case("retry-reserve = -1", "services.retry-reserve"; "negative reserve")]
+#[test_case("retry-reserve = nan", "services.retry-reserve"; "reserve that is not a number")]
+#[test_case("retry-reserve = inf", "services.retry-reserve"; "infinite reserve")]
+#[test_case("retry-ratio = nan", "services.retry-ratio"; "ratio that is not a number")]
+#[test_case("floor-share = 1.01", "services.floor-share"; "share above one")]
+fn numbers_out_of_range_are_reported(line: &str, key: &str) {
+    check_problem(&format!("[services]\n{line}\n"), key, Some(6));
+}
--- a/crates/lynxmastd/src/store_platform.rs
+++ b/crates/lynxmastd/src/store_platform.rs
@@ -68,7 +68,6 @@
 
 /// Returns the defaults of a service, from the settings and the constants of this module.
 fn service_defaults(settings: &settings::Services) -> service::Service {
-    let reserve = f64::from(settings.retry_reserve) * RETRY_RESERVE_FRACTION;
     service::Service {
         slots: SLOTS_MAX,
         queue: QUEUE_LENGTH_MAX,
@@ -78,7 +77,7 @@
         hedge_after: HEDGE_AFTER,
         floor_share: settings.floor_share,
         retry_ratio: settings.retry_ratio * RETRY_RATIO_FRACTION,
-        retry_reserve: Some(reserve as u32),
+        retry_reserve: Some(settings.retry_reserve * RETRY_RESERVE_FRACTION),
         retry_window: settings.retry_window,
         ..service::Service::default()
     }
--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -43,7 +43,7 @@
         pub retry_ratio: f64,
         /// Retries beyond the ratio that the whole fleet may make within `retry_window`; with
         /// `None`, each daemon has a small reserve of its own.
-        pub retry_reserve: Option<u32>,
+        pub retry_reserve: Option<f64>,
         /// Time window of `retry_reserve`.
         #[serde(with = "humantime_serde")]
         pub retry_window: time::Duration,
@@ -86,6 +86,7 @@
 const SLOTS_MAX: u32 = 4096;
 const CONNECTIONS_MAX: u32 = 65_536;
 const QUEUE_MAX: u32 = 4096;
+const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
 /// Longest `max_wait`, `ramp`, `stall` and `retry_window`.
 const DURATION_MAX: time::Duration = time::Duration::from_secs(600);
 const HEDGE_AFTER_MAX: f64 = 100.0;
@@ -121,6 +122,12 @@
             "retry-ratio",
             format!("{} is not in the range 0 to 1", self.retry_ratio),
         );
+        let reserve_ok = self.retry_reserve.is_none_or(|r| (0.0..=RETRY_RESERVE_MAX).contains(&r));
+        require(
+            reserve_ok,
+            "retry-reserve",
+            format!("is not in the range 0 to {RETRY_RESERVE_MAX}"),
+        );
         let window_ok = (DURATION_MIN..=DURATION_MAX).contains(&self.retry_window);
         require(window_ok, "retry-window", "is not in the range 100ms to 600s".into());
         let share_ok = (0.0..=1.0).contains(&self.floor_share);
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -133,7 +133,7 @@
     /// Number of retries allowed per first attempt.
     pub ratio: f64,
     /// Number of additional retries allowed in each `window`.
-    pub reserve: u32,
+    pub reserve: f64,
     /// Period over which the budget holds.
     pub window: time::Duration,
     /// Number of daemons that share the reserve.
@@ -187,7 +187,7 @@
         retry_probability: f64,
         now: time::Instant,
     ) {
-        let reserve = f64::from(fleet.reserve) / fleet.daemons.max(1) as f64;
+        let reserve = fleet.reserve / fleet.daemons.max(1) as f64;
         let saved = reserve * SAVED_FRACTION;
         let elapsed = self.refilled.map(|at| now.saturating_duration_since(at));
         let refill = match elapsed {
--- a/crates/state/src/retry/tests.rs
+++ b/crates/state/src/retry/tests.rs
@@ -60,7 +60,7 @@
     // Every request fails for ten seconds, after ten seconds without failures.
     let fleet = FleetBudget {
         ratio: 0.16,
-        reserve: 36,
+        reserve: 36.0,
         window: time::Duration::from_secs(10),
         daemons: 27,
     };
@@ -85,7 +85,7 @@
 #[test]
 fn calls_made_by_retried_requests_draw_on_the_fleet_budget() {
     let fleet =
-        FleetBudget { ratio: 0.2, reserve: 1, window: time::Duration::from_secs(10), daemons: 1 };
+        FleetBudget { ratio: 0.2, reserve: 1.0, window: time::Duration::from_secs(10), daemons: 1 };
     let now = time::Instant::now();
     let mut budget = Budget::default();
     budget.deposit_fleet(&fleet, 0.0, now);
@@ -102,7 +102,7 @@
     // The daemons spend all reserves, then restart, and every request fails again.
     let fleet = FleetBudget {
         ratio: 0.16,
-        reserve: 36,
+        reserve: 36.0,
         window: time::Duration::from_secs(10),
         daemons: 27,
     };
@@ -126,7 +126,7 @@
 fn the_reserve_refills_over_the_window() {
     // Few requests, all of which fail. The ratio alone allows a retry for one in five.
     let window = time::Duration::from_secs(10);
-    let fleet = FleetBudget { ratio: 0.2, reserve: 10, window, daemons: 1 };
+    let fleet = FleetBudget { ratio: 0.2, reserve: 10.0, window, daemons: 1 };
     let start = time::Instant::now();
     let mut budget = Budget::default();
     let retries = (0..40_u32).filter(|second| {
