Keep the fleet's retry budget at the upstreams

Cause: each ingress had its own part of the budget, 0.44 of a retry at 27 daemons and 0.37 at 235. Ruled out: leases from an owner and use exchanged with the membership (docs/COORDINATION.md). Change: a first attempt earns and a retry pays at the upstream where it arrives; an ingress asks up to eight sidecars. Four fifths of the ratio and half of the reserve are used (before: half and two fifths).

--- a/crates/lynxmastd/src/store_platform.rs
+++ b/crates/lynxmastd/src/store_platform.rs
@@ -40,13 +40,12 @@
 /// hedged.
 const HEDGE_AFTER: f64 = 2.0;
 /// Fraction of the configured retry ratio that the daemons use for a service. The rest is headroom
-/// for unused retry budget that accumulated, and for the calls that a backend server makes again
-/// when a request to it is retried: they count against the ratio of the service that it calls.
-const RETRY_RATIO_FRACTION: f64 = 0.5;
+/// for unspent retries, which accumulate for a quarter of the window.
+const RETRY_RATIO_FRACTION: f64 = 0.8;
 /// Fraction of the configured retry reserve that the daemons use. The rest is headroom for calls
 /// that backend servers make again, and for daemons that have just started and do not know how much
 /// of the reserve has been spent.
-const RETRY_RESERVE_FRACTION: f64 = 0.4;
+const RETRY_RESERVE_FRACTION: f64 = 0.5;
 
 impl<C> StorePlatform<C> {
     /// Creates the platform whose store is at `address`; `settings` are the defaults for services.
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -33,6 +33,9 @@
     pub may_resend: bool,
     /// Whether the request has already been sent to a backend server.
     pub is_retry: bool,
+    /// Probability that the request is a call made by a backend server while serving a retry, from
+    /// 0 to 1.
+    pub retry_probability: f64,
     /// Risk tolerance: how strongly the upstream may be suspected of failing.
     pub risk: outlier::RiskTolerance,
     /// Rank of the route; 0 is the highest priority.
@@ -69,6 +72,7 @@
     ///     policy: 7,
     ///     may_resend: false,
     ///     is_retry: false,
+    ///     retry_probability: 0.0,
     ///     risk: Default::default(),
     ///     rank: 0,
     ///     objective: None,
@@ -87,6 +91,9 @@
         if self.is_retry {
             put(headers, header::RETRY, "true");
         }
+        if self.retry_probability > 0.0 {
+            put(headers, header::RETRY_PROBABILITY, &self.retry_probability.to_string());
+        }
         if self.risk != outlier::RiskTolerance::Avoid {
             put(headers, header::RISK, self.risk.as_str());
         }
@@ -115,6 +122,7 @@
             policy: get(headers, header::POLICY_VERSION)?,
             may_resend: get(headers, header::MAY_RESEND)?,
             is_retry: headers.contains_key(header::RETRY),
+            retry_probability: read_probability(headers, header::RETRY_PROBABILITY),
             risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
             objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
@@ -144,6 +152,8 @@
     pub room: Option<request_limit::Room>,
     /// Incarnation of the upstream that has stated in a response that it is about to leave.
     pub leaving: Option<ids::Incarnation>,
+    /// Retries that the budget of the upstream allows; `None` if the ingresses keep the budget.
+    pub retries_left: Option<u32>,
     /// Version of the policy that is active at the sidecar.
     pub policy: ids::PolicyVersion,
 }
@@ -176,6 +186,9 @@
         if let Some(incarnation) = self.leaving {
             put(headers, header::LEAVING_INCARNATION, &incarnation.to_string());
         }
+        if let Some(retries) = self.retries_left {
+            put(headers, header::RETRIES_LEFT, &retries.to_string());
+        }
     }
 
     /// Reads a report from a response's headers.
@@ -209,6 +222,7 @@
             crashed: single(headers, header::CRASHED),
             room: single(headers, header::ROOM),
             leaving: single(headers, header::LEAVING_INCARNATION),
+            retries_left: single(headers, header::RETRIES_LEFT),
             policy: get(headers, header::POLICY_VERSION)?,
         })
     }
@@ -221,6 +235,11 @@
     value.and_then(|value| outlier::RiskTolerance::parse(&value)).unwrap_or_default()
 }
 
+/// Reads a probability; 0 if it is missing or not between 0 and 1.
+fn read_probability(headers: &HeaderMap, name: &str) -> f64 {
+    single(headers, name).filter(|value| (0.0..=1.0).contains(value)).unwrap_or(0.0)
+}
+
 /// Sets a header; omits it if the value is not valid in a header.
 fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -20,6 +20,7 @@
         crashed: Some(3),
         room: Some(request_limit::Room { rate: 3.3, wait: time::Duration::from_millis(20) }),
         leaving: Some(4),
+        retries_left: Some(2),
         policy: 9,
     };
     let mut headers = HeaderMap::new();
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -35,6 +35,9 @@
 
 /// Ingress to sidecar: present if the request has already been sent to a backend server.
 pub const RETRY: &str = "lynxmast-repeat";
+/// Ingress to sidecar: probability that the request is a call made by a backend server while serving
+/// a retry, from 0 to 1; absent for 0.
+pub const RETRY_PROBABILITY: &str = "lynxmast-repeat-probability";
 /// Ingress to sidecar: risk tolerance, that is, how strongly the upstream may be suspected of
 /// failing. Absent if a suspected upstream is to be avoided.
 pub const RISK: &str = "lynxmast-risk";
@@ -55,6 +58,8 @@
 pub const ROOM: &str = "lynxmast-room";
 /// Sidecar to ingress: incarnation of the upstream that has stated that it is about to leave.
 pub const LEAVING_INCARNATION: &str = "lynxmast-leaving-incarnation";
+/// Sidecar to ingress: number of retries that the budget of the upstream allows.
+pub const RETRIES_LEFT: &str = "lynxmast-retries-left";
 /// Sidecar to ingress: load of the upstream, in the format of `lynxmast_state::load`.
 pub const LOAD: &str = "lynxmast-load";
 /// Sidecar to ingress: microseconds from forwarding the request to receiving the response head.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod statistics;
 pub mod suspension;
 pub mod token_bucket;
+pub mod upstream_budget;
 pub mod validation;
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -279,6 +279,16 @@
         serving.flat_map(record_candidates).collect()
     }
 
+    /// Counts the upstreams of each service in all records, also those of silent daemons, which may
+    /// be on the other side of a partition.
+    pub fn upstream_counts(&self) -> IndexMap<ids::ServiceName, usize> {
+        let mut counts = IndexMap::new();
+        for upstream in self.all_records().flat_map(|record| &record.upstreams) {
+            *counts.entry(upstream.id.service.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+
     /// Selects up to `count` random peers to gossip with and returns their control addresses.
     pub fn gossip_targets(&self, count: usize, rng: &mut impl Rng) -> Vec<net::SocketAddr> {
         let is_same_domain = |peer: &&Peer| peer.record.domain == self.own_record.domain;
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -57,6 +57,8 @@
         Quarantined,
         /// The upstream gets as many requests per second as the limit allows that it names.
         Limited,
+        /// The request would be a retry, and the retry budget of the upstream is used up.
+        OverBudget,
     }
 
     /// Reason why a request that may have been run has no complete response.
@@ -137,7 +139,7 @@
 
 impl Rejection {
     /// All variants, for decoding and tests.
-    pub const ALL: [Rejection; 20] = [
+    pub const ALL: [Rejection; 21] = [
         Rejection::BadRequest,
         Rejection::UnknownKey,
         Rejection::Forbidden,
@@ -158,6 +160,7 @@
         Rejection::Suspected,
         Rejection::Quarantined,
         Rejection::Limited,
+        Rejection::OverBudget,
     ];
 
     /// Returns the value of the reason header.
@@ -183,6 +186,7 @@
             Rejection::Suspected => "doubtful",
             Rejection::Quarantined => "quarantined",
             Rejection::Limited => "limited",
+            Rejection::OverBudget => "over-budget",
         }
     }
 
@@ -194,8 +198,8 @@
     /// Returns whether the request was rejected for lack of capacity; a suspected upstream counts
     /// as lacking it.
     pub fn is_overload(&self) -> bool {
-        use Rejection::{Limited, QueueFull, Suspected, WaitTooLong};
-        matches!(self, QueueFull | WaitTooLong | Suspected | Limited)
+        use Rejection::{Limited, OverBudget, QueueFull, Suspected, WaitTooLong};
+        matches!(self, QueueFull | WaitTooLong | Suspected | Limited | OverBudget)
     }
 
     /// Returns whether a backend server was contacted, although it did not run the request.
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -1,10 +1,8 @@
 //! Conditions for a retry, and the retry budget.
 
-use std::f64::consts::LN_2;
 use std::time;
 
 use crate::outcome;
-use crate::statistics;
 
 /// Reason why an attempt gave no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,11 +100,12 @@
             | Misdirected
             | Suspected
             | Limited
+            | OverBudget
     )
 }
 
 /// Retry budget of one service at one ingress: a fraction of the first attempts plus a small
-/// reserve.
+/// reserve. Services whose budget the whole fleet shares use [`crate::upstream_budget`] instead.
 ///
 /// # Examples
 ///
@@ -119,38 +118,11 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
-    /// Maximum number of tokens; varies with recent traffic under a fleet budget.
-    capacity: f64,
-    /// First attempts counted under a fleet budget; their weight decays.
-    first_attempts: statistics::MovingAverage,
-    /// Time of the last refill from the reserve; `None` unless the budget is shared by the fleet.
-    refilled: Option<time::Instant>,
 }
 
-/// Retry budget shared by the daemons of a fleet.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct FleetBudget {
-    /// Number of retries allowed per first attempt.
-    pub ratio: f64,
-    /// Number of additional retries allowed in each `window`.
-    pub reserve: f64,
-    /// Period over which the budget holds.
-    pub window: time::Duration,
-    /// Number of daemons that share the reserve.
-    pub daemons: usize,
-}
-
-/// Time for which unspent retries of a fleet budget are kept, since failures come in bursts.
-pub const SAVING_WINDOW: time::Duration = time::Duration::from_millis(2500);
-/// Fraction of a daemon's reserve that is saved for a burst of failures; the rest refills over the
-/// window.
-const SAVED_FRACTION: f64 = 0.75;
-/// Fraction of the saved reserve that a daemon starts with, since it does not know how much the
-/// previous instance has spent.
-const INITIAL_FRACTION: f64 = 2.0 / 3.0;
 /// Number of retries that a service may make in a row before its first attempts have earned any.
 const TOKENS_INITIAL: f64 = 10.0;
-/// Maximum number of unspent retries, without a fleet budget.
+/// Maximum number of unspent retries.
 const TOKENS_MAX: f64 = 50.0;
 /// Number of retries that must be left before a request may probe a suspected upstream: one for
 /// this request and one for the next.
@@ -160,12 +132,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self {
-            tokens: TOKENS_INITIAL,
-            capacity: TOKENS_MAX,
-            first_attempts: statistics::MovingAverage::new(SAVING_WINDOW.mul_f64(LN_2)),
-            refilled: None,
-        }
+        Self { tokens: TOKENS_INITIAL }
     }
 }
 
@@ -175,35 +142,10 @@
         self.tokens = (self.tokens + ratio.max(DEPOSIT_MIN)).min(TOKENS_MAX);
     }
 
-    /// Counts a first attempt under a fleet budget. The retries of all daemons in a window never
-    /// exceed `fleet.reserve` plus `fleet.ratio` times the first attempts in that window and in the
-    /// [`SAVING_WINDOW`], approximately, before it.
-    ///
-    /// `retry_probability` is the probability that the request was sent while serving a retry of
-    /// another one, in which case it counts as a retry itself.
-    pub fn deposit_fleet(
-        &mut self,
-        fleet: &FleetBudget,
-        retry_probability: f64,
-        now: time::Instant,
-    ) {
-        let reserve = fleet.reserve / fleet.daemons.max(1) as f64;
-        let saved = reserve * SAVED_FRACTION;
-        let elapsed = self.refilled.map(|at| now.saturating_duration_since(at));
-        let refill = match elapsed {
-            None => saved * INITIAL_FRACTION - self.tokens,
-            Some(elapsed) => (reserve - saved) * elapsed.as_secs_f64() / fleet.window.as_secs_f64(),
-        };
-        self.refilled = self.refilled.max(Some(now));
-        self.first_attempts.record(1.0, now);
-        self.capacity = (saved + fleet.ratio * self.first_attempts.weight(now)).max(1.0);
-        self.tokens = (self.tokens + refill + fleet.ratio - retry_probability).min(self.capacity);
-    }
-
     /// Returns whether a retry is left besides the one that the request is likely to need, so that
     /// it may probe a suspected upstream.
     pub fn has_spare(&self) -> bool {
-        self.tokens >= SPARE_TOKENS.min(self.capacity)
+        self.tokens >= SPARE_TOKENS
     }
 
     /// Takes one retry from the budget. Returns `false` if none is left.
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,9 +1,8 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
-//! Lock order: `policy`, `membership`, `router`, `limiter`, `allocator`, `traffic`, `quarantine`,
-//! `events`. A
-//! task that holds one lock acquires only later ones. No lock is held across an await point. The
-//! admission state is private to the sidecar and never locked together with these.
+//! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `limiter`, `allocator`, `traffic`,
+//! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
+//! an await point. The admission state is private to the sidecar and never locked together with these.
 
 use std::sync;
 use std::sync::atomic;
@@ -35,6 +34,8 @@
     policy: sync::RwLock<Policy>,
     membership: sync::Mutex<membership::Membership>,
     router: sync::Mutex<router::Router>,
+    /// Upstreams of each service in all membership records.
+    upstream_counts: sync::RwLock<IndexMap<ids::ServiceName, usize>>,
     limiter: sync::Mutex<rate_limit::LocalLimiter>,
     allocator: sync::Mutex<rate_limit::Allocator>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
@@ -69,6 +70,7 @@
             policy: Default::default(),
             membership: sync::Mutex::new(membership::Membership::new(own_record)),
             router: sync::Mutex::new(router),
+            upstream_counts: Default::default(),
             limiter: Default::default(),
             allocator: Default::default(),
             traffic: Default::default(),
@@ -195,7 +197,14 @@
             return;
         }
         let candidates = membership.candidates(now);
+        let counts = membership.upstream_counts();
         self.router().sync(candidates);
+        *write(&self.upstream_counts) = counts;
+    }
+
+    /// Returns the number of known upstreams of a service, including those that accept no requests.
+    pub fn upstream_count(&self, service: &str) -> usize {
+        read(&self.upstream_counts).get(service).copied().unwrap_or(0)
     }
 
     /// Reads the clock.
@@ -207,18 +216,22 @@
 /// Traffic statistics of one service at this ingress.
 #[derive(Debug)]
 pub struct Traffic {
-    /// Budget for retries and hedges.
+    /// Budget for retries and hedges, unless the upstreams of the service keep it.
     pub budget: retry::Budget,
+    /// Retries left that sidecars of the service have reported recently.
+    pub retries_left: statistics::MovingAverage,
     /// Estimate of the 95th percentile of the time to a response head, in seconds.
     pub latency_p95: statistics::Quantile,
 }
 
 const LATENCY_QUANTILE: f64 = 0.95;
+const RETRIES_HALF_LIFE: time::Duration = time::Duration::from_secs(1);
 
 impl Default for Traffic {
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
-        Self { budget: retry::Budget::default(), latency_p95 }
+        let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
+        Self { budget: retry::Budget::default(), retries_left, latency_p95 }
     }
 }
 
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -147,8 +147,10 @@
     suspected: Vec<net::SocketAddr>,
     /// Whether attempts tolerate suspected upstreams.
     ignores_suspicion: bool,
-    /// Whether a retry was not made because the retry budget was empty.
+    /// Whether the latest retry was not made because the retry budget was empty.
     over_budget: bool,
+    /// Sidecars that have denied a retry because the budget of their upstream was used up.
+    denials: u32,
     /// Whether a retry was not made because the request crashes upstreams.
     is_quarantined: bool,
     /// End of the latest attempt that may have run the request.
@@ -161,12 +163,20 @@
     /// Records an attempt that ended without a usable response.
     fn record_end(&mut self, end: retry::AttemptEnd) {
         self.last_end = Some(end);
+        self.over_budget = end == retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget);
+        self.denials += u32::from(self.over_budget);
         self.attempts += u32::from(end.reached_upstream());
         if matches!(end, retry::AttemptEnd::MayHaveRun(_)) {
             self.may_have_run = Some(end);
         }
     }
 
+    /// Counts a hedge as an attempt if it reached a backend server.
+    fn record_hedge<T>(&mut self, result: &Result<T, retry::AttemptEnd>) {
+        let is_attempt = result.as_ref().err().is_none_or(|end| end.reached_upstream());
+        self.attempts += u32::from(is_attempt);
+    }
+
     /// Returns whether the last sidecar could not be used, rather than being overloaded or suspecting
     /// its upstream. Another one that was unavailable before is then worth a try, while under
     /// overload the request is better rejected at once.
@@ -193,6 +203,8 @@
 const RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(25);
 /// Shortest `Retry-After` of a request that was rejected for the limits of upstreams.
 const RETRY_AFTER_MIN: time::Duration = time::Duration::from_millis(250);
+/// Maximum number of sidecars that are asked for a retry.
+const DENIALS_MAX: u32 = 8;
 /// Maximum number of sidecars to which one request is sent.
 const CONTACTED_MAX: u32 = 16;
 
@@ -389,7 +401,8 @@
                 progress.is_quarantined = true;
                 return Err(progress.may_have_run.unwrap_or(quarantined));
             }
-            if !self.try_retry(context, end, progress.attempts, progress) {
+            let is_denied = progress.denials >= DENIALS_MAX;
+            if is_denied || !self.try_retry(context, end, progress.attempts, progress) {
                 // A rejection of the last attempt does not prove that no earlier attempt was run.
                 return Err(progress.may_have_run.unwrap_or(end));
             }
@@ -419,13 +432,21 @@
         }
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge = std::pin::pin!(self.try_upstream(context, second, options));
+        let hedge_options = AttemptOptions { is_retry: true, risk };
+        let hedge = std::pin::pin!(self.try_upstream(context, second, hedge_options));
         match futures::future::select(primary, hedge).await {
-            futures::future::Either::Left((Ok(response), _))
-            | futures::future::Either::Right((Ok(response), _)) => Ok(response),
-            futures::future::Either::Left((Err(end), hedge)) => combine_results(end, hedge.await),
-            futures::future::Either::Right((Err(end), primary)) => {
-                combine_results(end, primary.await)
+            futures::future::Either::Left((Ok(response), _)) => Ok(response),
+            futures::future::Either::Left((Err(end), hedge)) => {
+                let result = hedge.await;
+                progress.record_hedge(&result);
+                combine_results(end, result)
+            }
+            futures::future::Either::Right((result, primary)) => {
+                progress.record_hedge(&result);
+                match result {
+                    Ok(response) => Ok(response),
+                    Err(end) => combine_results(end, primary.await),
+                }
             }
         }
     }
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -47,6 +47,7 @@
             policy: context.policy_version,
             may_resend: context.may_resend(),
             is_retry: options.is_retry,
+            retry_probability: self.retry_probability(&context.route_match.service),
             risk: options.risk,
             rank: context.route_match.route.rank,
             objective: context.objective_remaining(started),
@@ -147,6 +148,11 @@
             router.record_load(id, load, now);
             router.record_room(id, report.room, now, &mut rand::rng());
         }
+        if let Some(retries) = report.retries_left {
+            self.shared.with_traffic(&id.service, |traffic| {
+                traffic.retries_left.record(f64::from(retries), now);
+            });
+        }
         if let Some(incarnation) = report.leaving {
             self.shared.router().record_leaving(id, incarnation);
         }
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -10,27 +10,34 @@
 use crate::ingress;
 use crate::ingress::attempt;
 
+/// Mean number of retries left at the upstreams of a service from which a request may probe a
+/// suspected one: the retry that it is likely to need is then granted by the first sidecar asked.
+const SPARE_RETRIES: f64 = 1.0;
 /// Shortest time before a hedge is sent.
 const HEDGE_DELAY_MIN: time::Duration = time::Duration::from_millis(5);
 
 impl<C: clock::Clock> ingress::Ingress<C> {
-    /// Credits the retry budget of a service for the first attempt of a request.
+    /// Credits the retry budget of a service for the first attempt of a request, unless the upstreams
+    /// of the service keep it.
     pub(super) fn deposit_retry_budget(&self, service: &service::Service) {
-        let now = self.shared.now();
-        // A request that a local backend server sends while serving a retry counts as a retry too.
-        // A service does not call itself, so requests to the local service are never such calls.
+        if service.retry_reserve.is_none() {
+            let ratio = service.retry_ratio;
+            self.shared.with_traffic(&service.name, |traffic| traffic.budget.deposit(ratio));
+        }
+    }
+
+    /// Takes a retry or hedge from the budget. Returns `false` if none is left. A budget that the
+    /// upstreams keep is charged where the retry arrives.
+    fn withdraw_retry(&self, service: &service::Service) -> bool {
+        service.retry_reserve.is_some()
+            || self.shared.with_traffic(&service.name, |traffic| traffic.budget.withdraw())
+    }
+
+    /// Returns the probability that a request to a service is a call that a local backend server
+    /// makes while serving a retry. A service does not call itself.
+    pub(super) fn retry_probability(&self, service: &service::Service) -> f64 {
         let is_local = *service.name == *self.identity.service;
-        let retry_probability = if is_local { 0.0 } else { self.sidecar.retry_probability() };
-        let shared_budget = service.retry_reserve.map(|reserve| retry::FleetBudget {
-            ratio: service.retry_ratio,
-            reserve,
-            window: service.retry_window,
-            daemons: self.shared.membership().live_records(now).count(),
-        });
-        self.shared.with_traffic(&service.name, |traffic| match shared_budget {
-            Some(budget) => traffic.budget.deposit_fleet(&budget, retry_probability, now),
-            None => traffic.budget.deposit(service.retry_ratio),
-        });
+        if is_local { 0.0 } else { self.sidecar.retry_probability() }
     }
 
     /// Returns whether to retry after a server error, and takes the retry from the budget if so.
@@ -71,21 +78,24 @@
             attempts_max: context.route_match.route.attempts,
             remaining: context.deadline.saturating_duration_since(self.shared.now()),
         };
-        let service = &context.route_match.service.name;
         if !retry::should_retry(&retry_context) {
             return false;
         }
-        let has_budget = !end.reached_upstream()
-            || self.shared.with_traffic(service, |traffic| traffic.budget.withdraw());
-        progress.over_budget = !has_budget;
+        let has_budget =
+            !end.reached_upstream() || self.withdraw_retry(&context.route_match.service);
+        progress.over_budget |= !has_budget;
         has_budget
     }
 
     /// Returns whether the retry budget covers the retry that a probe of a suspected upstream is
     /// likely to need.
     pub(super) fn may_probe(&self, context: &ingress::RequestContext) -> bool {
-        let service = &context.route_match.service.name;
-        self.shared.with_traffic(service, |traffic| traffic.budget.has_spare())
+        let service = &context.route_match.service;
+        let is_shared = service.retry_reserve.is_some();
+        self.shared.with_traffic(&service.name, |traffic| match is_shared {
+            true => traffic.retries_left.value().is_some_and(|left| left >= SPARE_RETRIES),
+            false => traffic.budget.has_spare(),
+        })
     }
 
     /// Returns the time without a response after which a hedge is sent; `None` if the service does
@@ -105,16 +115,13 @@
         context: &ingress::RequestContext,
         progress: &mut ingress::Progress,
     ) -> Option<ingress::OutstandingRequest<C>> {
-        let service = &context.route_match.service.name;
         let is_suspected = self.shared.quarantine().is_suspected_head(context.head_hash);
         let allowed = !is_suspected
             && context.body.is_complete()
             && progress.attempts + 1 < context.route_match.route.attempts;
-        if !allowed || !self.shared.with_traffic(service, |t| t.budget.withdraw()) {
+        if !allowed || !self.withdraw_retry(&context.route_match.service) {
             return None;
         }
-        let hedge = self.pick_upstream(context, progress).ok()?;
-        progress.attempts += 1;
-        Some(hedge)
+        self.pick_upstream(context, progress).ok()
     }
 }
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -22,9 +22,11 @@
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
+use lynxmast_state::policy::service;
 use lynxmast_state::priority;
 use lynxmast_state::retry;
 use lynxmast_state::shared_state;
+use lynxmast_state::upstream_budget;
 
 use crate::body;
 use crate::exchange;
@@ -141,9 +143,13 @@
         let failure_percent = upstream.as_ref().map(|upstream| upstream.failure_percent(now));
         let leaving = upstream.as_ref().and_then(|upstream| upstream.leaving());
         let room = upstream.as_ref().and_then(|upstream| upstream.room(now));
+        let policy = self.shared.policy();
+        let has_budget =
+            policy.service(&envelope.upstream.service).is_some_and(|s| s.retry_reserve.is_some());
+        let retries_left = upstream.as_ref().filter(|_| has_budget).map(|u| u.retries_left());
         let load = upstream.map(|upstream| upstream.load(now));
         let end = result.as_ref().err().copied();
-        let policy = self.shared.policy().version;
+        let policy = policy.version;
         let Observation { elapsed, dependency_failed, crashed } = observed;
         let report = envelope::AttemptReport {
             end,
@@ -154,6 +160,7 @@
             crashed,
             room,
             leaving,
+            retries_left,
             policy,
         };
         AttemptResponse { result, report }
@@ -322,7 +329,20 @@
         if !upstream.allows(envelope.risk, now) {
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::Suspected));
         }
-        let slot = upstream.admit(&arrival, now).await.map_err(retry::AttemptEnd::NotRun)?;
+        let budget = self.fleet_budget(service);
+        let withdrawn = budget.filter(|_| envelope.is_retry);
+        if withdrawn.is_some_and(|budget| !upstream.withdraw_retry(&budget, now)) {
+            return Err(retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget));
+        }
+        let slot = upstream.admit(&arrival, now).await.map_err(|rejection| {
+            if withdrawn.is_some() {
+                upstream.refund_retry();
+            }
+            retry::AttemptEnd::NotRun(rejection)
+        })?;
+        if let Some(budget) = budget.filter(|_| !envelope.is_retry) {
+            upstream.record_first_attempt(&budget, envelope.retry_probability, now);
+        }
         let kind = match (envelope.is_retry, envelope.risk) {
             (true, _) => upstream::RequestKind::Retry,
             (false, outlier::RiskTolerance::Probe | outlier::RiskTolerance::Any) => {
@@ -336,6 +356,17 @@
         Ok((slot, service.stall))
     }
 
+    /// Returns the retry budget that the upstreams of a service share; `None` if its ingresses keep
+    /// one each.
+    fn fleet_budget(&self, service: &service::Service) -> Option<upstream_budget::FleetBudget> {
+        Some(upstream_budget::FleetBudget {
+            ratio: service.retry_ratio,
+            reserve: service.retry_reserve?,
+            window: service.retry_window,
+            upstreams: self.shared.upstream_count(&service.name),
+        })
+    }
+
     /// Waits until the active policy has at least the `required` version.
     ///
     /// # Errors
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -93,6 +93,7 @@
             crashed: None,
             room: None,
             leaving: None,
+            retries_left: None,
             policy,
         };
         report.write(response.headers_mut());
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -13,6 +13,7 @@
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
 use lynxmast_state::request_limit;
+use lynxmast_state::upstream_budget;
 use tokio::sync::oneshot;
 
 use crate::pool;
@@ -33,6 +34,8 @@
     /// Whether another instance has responded at the address since the last announcement.
     lease_revoked: atomic::AtomicBool,
     detector: sync::Mutex<outlier::Detector>,
+    /// Part of the fleet's retry budget.
+    budget: sync::Mutex<upstream_budget::UpstreamBudget>,
     /// Requests in flight that are retries.
     retries: atomic::AtomicU32,
     /// Requests in flight that may be retried, including those that are retries.
@@ -120,6 +123,7 @@
         let admission = admission::Admission::new(limits, lease.renewed);
         let admission = sync::Mutex::new(admission);
         let detector = sync::Mutex::new(outlier::Detector::new(lease.renewed));
+        let budget = sync::Mutex::new(upstream_budget::UpstreamBudget::new(lease.renewed));
         let last_response = sync::Mutex::new(lease.renewed);
         Self {
             id,
@@ -129,6 +133,7 @@
             lease: sync::Mutex::new(lease),
             lease_revoked: Default::default(),
             detector,
+            budget,
             retries: Default::default(),
             retryable: Default::default(),
             pending: Default::default(),
@@ -149,6 +154,32 @@
         self.retryable.load(atomic::Ordering::Acquire)
     }
 
+    /// Takes a retry from the upstream's part of the `fleet` budget. Returns `false` if none is left.
+    pub fn withdraw_retry(&self, fleet: &upstream_budget::FleetBudget, now: time::Instant) -> bool {
+        lock(&self.budget).withdraw(fleet, now)
+    }
+
+    /// Returns a retry that was not forwarded to the budget.
+    pub fn refund_retry(&self) {
+        lock(&self.budget).refund();
+    }
+
+    /// Counts a first attempt towards the retry budget. `retry_probability` is the probability that
+    /// it is a call made while serving a retry.
+    pub fn record_first_attempt(
+        &self,
+        fleet: &upstream_budget::FleetBudget,
+        retry_probability: f64,
+        now: time::Instant,
+    ) {
+        lock(&self.budget).record_first_attempt(fleet, retry_probability, now);
+    }
+
+    /// Returns the number of retries that the upstream's part of the budget allows.
+    pub fn retries_left(&self) -> u32 {
+        lock(&self.budget).retries_left()
+    }
+
     /// Returns the slots in use, the queued requests and the open slots.
     pub fn load(&self, now: time::Instant) -> load::Load {
         lock(&self.admission).load(now)
