Reject the queue of an upstream that becomes suspected

Cause: suspicion was checked when a request arrived at a sidecar, not when it got a slot. Change: when an upstream becomes suspected, its queued requests that avoid risk or may only probe are rejected as not run, and their ingresses try other upstreams.

--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::load;
 use crate::outcome;
+use crate::outlier;
 use crate::priority;
 use crate::request_limit;
 use crate::slot_usage;
@@ -35,6 +36,8 @@
     pub deadline: time::Instant,
     /// Priority among the requests of the organisation.
     pub priority: priority::Priority,
+    /// Condition on the failure probability of the upstream.
+    pub risk: outlier::RiskTolerance,
 }
 
 /// Decision on an arrival. `T` identifies the request, so that it can be resumed after it was
@@ -95,6 +98,7 @@
 ///     weight: 1,
 ///     deadline: now + second,
 ///     priority: Default::default(),
+///     risk: Default::default(),
 /// };
 /// let fair = admission::ShareClass::Fair;
 /// assert_eq!(admission.admit(&arrival, 'a', now), admission::Decision::Admit('a', fair));
@@ -127,6 +131,7 @@
     ticket: Ticket,
     until: time::Instant,
     priority: priority::Priority,
+    risk: outlier::RiskTolerance,
     item: T,
 }
 
@@ -252,7 +257,8 @@
     ) -> Decision<T> {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let waiting = QueuedRequest { ticket, until, priority: arrival.priority, item };
+        let Arrival { priority, risk, .. } = *arrival;
+        let waiting = QueuedRequest { ticket, until, priority, risk, item };
         match self.queue.push(&arrival.organisation, arrival.weight, waiting, now) {
             fair_queue::PushResult::Queued => Decision::Queue { ticket, until, evicted: None },
             fair_queue::PushResult::Evicted(old) => {
@@ -324,6 +330,15 @@
         self.queue.remove_where(|_| true).into_iter().map(|waiting| waiting.item).collect()
     }
 
+    /// Removes and returns the queued requests that do not tolerate a suspected upstream, which have
+    /// to be rejected. Call this when the upstream becomes suspected: one that fails at once would
+    /// otherwise run its whole queue within milliseconds.
+    pub fn take_intolerant(&mut self) -> Vec<T> {
+        use outlier::RiskTolerance::{Avoid, Probe};
+        let removed = self.queue.remove_where(|waiting| matches!(waiting.risk, Avoid | Probe));
+        removed.into_iter().map(|waiting| waiting.item).collect()
+    }
+
     fn share_class(&self, organisation: Option<&str>, now: time::Instant) -> ShareClass {
         if self.queue.is_excess(organisation, now) { ShareClass::Excess } else { ShareClass::Fair }
     }
--- a/crates/state/src/admission/tests.rs
+++ b/crates/state/src/admission/tests.rs
@@ -17,6 +17,7 @@
         weight: 1,
         deadline: now + SECOND,
         priority: Default::default(),
+        risk: Default::default(),
     }
 }
 
@@ -68,6 +69,21 @@
     assert_eq!(admission.load(now).in_use, 1);
 }
 
+// Pattern: an upstream with a full queue starts to fail its requests at once.
+#[test]
+fn requests_that_avoid_risk_leave_the_queue_of_a_suspected_upstream() {
+    use outlier::RiskTolerance::{Accept, Any, Avoid, Probe};
+    let now = time::Instant::now();
+    let mut admission = Admission::new(limits(1, 8), now);
+    admission.admit(&arrival(now), None, now);
+    for risk in [Avoid, Probe, Accept, Any, Avoid] {
+        let decision = admission.admit(&Arrival { risk, ..arrival(now) }, Some(risk), now);
+        assert!(matches!(decision, Decision::Queue { .. }));
+    }
+    assert_eq!(admission.take_intolerant(), [Some(Avoid), Some(Probe), Some(Avoid)]);
+    assert_eq!(admission.load(now), load::Load { in_use: 1, queued: 2, slots: 1 });
+}
+
 proptest! {
     #[test]
     fn slots_in_use_match_running_requests(
--- a/crates/state/src/priority/tests.rs
+++ b/crates/state/src/priority/tests.rs
@@ -27,6 +27,7 @@
             weight: 1,
             deadline: now + DEADLINE,
             priority: Priority { rank: rank as u32, objective: Some(now + OBJECTIVE) },
+            risk: Default::default(),
         };
         if let admission::Decision::Admit((rank, arrived), class) =
             admission.admit(&arrival, (rank, now), now)
@@ -109,6 +110,7 @@
         weight: 1,
         deadline: now,
         priority: Priority::default(),
+        risk: Default::default(),
     };
     for number in 0..(5.0 * rate) as usize {
         now = start + time::Duration::from_secs_f64(number as f64 / rate);
--- a/crates/state/src/upstream_budget/tests.rs
+++ b/crates/state/src/upstream_budget/tests.rs
@@ -86,12 +86,8 @@
 const RATIO: f64 = 0.2;
 const SMALL_RESERVE: f64 = 60.0;
 const LARGE_RESERVE: f64 = 430.0;
-const SMALL: FleetBudget = FleetBudget {
-    ratio: RATIO * 0.8,
-    reserve: SMALL_RESERVE * 0.5,
-    window: WINDOW,
-    upstreams: 21,
-};
+const SMALL: FleetBudget =
+    FleetBudget { ratio: RATIO * 0.8, reserve: SMALL_RESERVE * 0.5, window: WINDOW, upstreams: 21 };
 const LARGE: FleetBudget = FleetBudget {
     ratio: RATIO * 0.8,
     reserve: LARGE_RESERVE * 0.5,
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -322,7 +322,8 @@
         let organisation = envelope.organisation.clone();
         let objective = envelope.objective.map(|remaining| now + remaining);
         let priority = priority::Priority { rank: envelope.rank, objective };
-        let arrival = admission::Arrival { organisation, weight, deadline, priority };
+        let risk = envelope.risk;
+        let arrival = admission::Arrival { organisation, weight, deadline, priority, risk };
         if upstream.is_lease_expired(self.lease_duration, now) {
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::NoUpstream));
         }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -235,15 +235,23 @@
     }
 
     /// Passes the result of a request to the outlier detector, and logs when the upstream becomes
-    /// suspected or is cleared.
+    /// suspected or is cleared. Queued requests that do not tolerate a suspected upstream are then
+    /// rejected.
     pub fn record_result(&self, success: bool) {
         let now = self.clock.now();
         let mut detector = lock(&self.detector);
         let was_suspected = detector.is_suspected(now);
         detector.record(success, now);
         let is_suspected = detector.is_suspected(now);
+        let probability = detector.failure_probability(now);
+        drop(detector);
+        if is_suspected && !was_suspected {
+            let intolerant = lock(&self.admission).take_intolerant();
+            for sender in intolerant.into_iter().flatten() {
+                let _ = sender.send(Err(outcome::Rejection::Suspected));
+            }
+        }
         if was_suspected != is_suspected {
-            let probability = detector.failure_probability(now);
             log::info!(
                 event = "doubt",
                 upstream:% = self.id,
@@ -587,3 +595,6 @@
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
