Run requests although many upstreams are suspected

Cause: a request asked at most 16 sidecars, all of which could reject it as suspected; the later attempts that tolerate suspicion found the limit used up. The progress of a request is a type of its own without network.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outlier;
 pub mod policy;
 pub mod priority;
+pub mod progress;
 pub mod quarantine;
 pub mod rate_limit;
 pub mod read_turn;
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -12,7 +12,6 @@
 use std::time;
 
 use hyper::body::Incoming;
-use indexmap::IndexSet;
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::clock;
@@ -21,6 +20,7 @@
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
 use lynxmast_state::policy::compiled;
+use lynxmast_state::progress;
 use lynxmast_state::retry;
 use lynxmast_state::router;
 use lynxmast_state::sampling;
@@ -97,15 +97,19 @@
     }
 
     /// Returns whether a further attempt is allowed if the next one fails.
-    fn has_attempt_after_next(&self, progress: &Progress) -> bool {
+    fn has_attempt_after_next(&self, progress: &progress::Progress) -> bool {
         self.idempotent && progress.attempts + 1 < self.route_match.route.attempts
     }
 
     /// Returns the risk tolerance of the next attempt, which limits the failure probability of its
     /// upstream. `may_probe` states whether the retry budget covers the retry that a probe is
     /// likely to need.
-    fn risk_tolerance(&self, progress: &Progress, may_probe: bool) -> outlier::RiskTolerance {
-        match progress.ignores_suspicion {
+    fn risk_tolerance(
+        &self,
+        progress: &progress::Progress,
+        may_probe: bool,
+    ) -> outlier::RiskTolerance {
+        match progress.ignores_suspicion() {
             true if self.idempotent => outlier::RiskTolerance::Any,
             true => outlier::RiskTolerance::Accept,
             false if may_probe && self.has_attempt_after_next(progress) => {
@@ -133,80 +137,10 @@
     risk: outlier::RiskTolerance,
 }
 
-/// State of one request across its attempts.
-#[derive(Debug, Default)]
-struct Progress {
-    /// Addresses of the upstreams already tried.
-    tried: IndexSet<net::SocketAddr>,
-    /// Attempts that reached a backend server.
-    attempts: u32,
-    /// Sidecars to which the request was sent.
-    contacted: u32,
-    /// Upstreams to which the request was not forwarded because their sidecars suspect them of
-    /// failing.
-    suspected: Vec<net::SocketAddr>,
-    /// Whether attempts tolerate suspected upstreams.
-    ignores_suspicion: bool,
-    /// Whether the latest retry was not made because the retry budget was empty.
-    over_budget: bool,
-    /// Sidecars that have denied a retry because the budget of their upstream was used up.
-    denials: u32,
-    /// Whether a retry was not made because the request crashes upstreams.
-    is_quarantined: bool,
-    /// End of the latest attempt that may have run the request.
-    may_have_run: Option<retry::AttemptEnd>,
-    /// End of the latest attempt.
-    last_end: Option<retry::AttemptEnd>,
-}
-
-impl Progress {
-    /// Records an attempt that ended without a usable response.
-    fn record_end(&mut self, end: retry::AttemptEnd) {
-        self.last_end = Some(end);
-        self.over_budget = end == retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget);
-        self.denials += u32::from(self.over_budget);
-        self.attempts += u32::from(end.reached_upstream());
-        if matches!(end, retry::AttemptEnd::MayHaveRun(_)) {
-            self.may_have_run = Some(end);
-        }
-    }
-
-    /// Counts a hedge as an attempt if it reached a backend server.
-    fn record_hedge<T>(&mut self, result: &Result<T, retry::AttemptEnd>) {
-        let is_attempt = result.as_ref().err().is_none_or(|end| end.reached_upstream());
-        self.attempts += u32::from(is_attempt);
-    }
-
-    /// Returns whether the last sidecar could not be used, rather than being overloaded or suspecting
-    /// its upstream. Another one that was unavailable before is then worth a try, while under
-    /// overload the request is better rejected at once.
-    fn found_unavailable(&self) -> bool {
-        matches!(self.last_end, Some(retry::AttemptEnd::NotRun(last)) if last.is_unavailable())
-    }
-
-    /// Makes the suspected upstreams eligible again, for attempts that tolerate the suspicion.
-    ///
-    /// Returns `false` if there are none, or if this was done before.
-    fn retry_suspected(&mut self) -> bool {
-        if self.ignores_suspicion || self.suspected.is_empty() {
-            return false;
-        }
-        self.ignores_suspicion = true;
-        for address in std::mem::take(&mut self.suspected) {
-            self.tried.swap_remove(&address);
-        }
-        true
-    }
-}
-
 /// Longest random delay before a retry that follows a second failure.
 const RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(25);
 /// Shortest `Retry-After` of a request that was rejected for the limits of upstreams.
 const RETRY_AFTER_MIN: time::Duration = time::Duration::from_millis(250);
-/// Maximum number of sidecars that are asked for a retry.
-const DENIALS_MAX: u32 = 8;
-/// Maximum number of sidecars to which one request is sent.
-const CONTACTED_MAX: u32 = 16;
 
 impl<C: clock::Clock> Ingress<C> {
     /// Creates the ingress of a daemon; requests to local upstreams go through `sidecar`.
@@ -239,7 +173,7 @@
             }
         };
         let service = context.route_match.service.name.clone();
-        let mut progress = Progress::default();
+        let mut progress = progress::Progress::default();
         let result = self.serve(&context, &mut progress).await;
         self.log_request(&context, &progress, &result);
         self.record_duration(&context, &result);
@@ -346,7 +280,7 @@
     async fn serve(
         &self,
         context: &RequestContext,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let service = &context.route_match.service;
         self.deposit_retry_budget(service);
@@ -360,7 +294,7 @@
     async fn run_attempts(
         &self,
         context: &RequestContext,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
         server_error: &mut Option<http::Response<body::ResponseBody<C>>>,
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let service = &context.route_match.service;
@@ -387,22 +321,19 @@
             let end = match result {
                 Ok(response) if self.try_retry_server_error(context, &response, progress) => {
                     *server_error = Some(response);
-                    progress.record_end(retry::AttemptEnd::MayHaveRun(outcome::Failure::Shed));
+                    let shed = retry::AttemptEnd::MayHaveRun(outcome::Failure::Shed);
+                    progress.record_end(address, shed);
                     continue;
                 }
                 Ok(response) => return Ok(response),
                 Err(end) => end,
             };
-            progress.record_end(end);
-            if end == retry::AttemptEnd::NotRun(outcome::Rejection::Suspected) {
-                progress.suspected.push(address);
-            }
+            progress.record_end(address, end);
             if let Err(quarantined) = self.check_quarantine(context).await {
                 progress.is_quarantined = true;
                 return Err(progress.may_have_run.unwrap_or(quarantined));
             }
-            let is_denied = progress.denials >= DENIALS_MAX;
-            if is_denied || !self.try_retry(context, end, progress.attempts, progress) {
+            if progress.is_denied() || !self.try_retry(context, end, progress.attempts, progress) {
                 // A rejection of the last attempt does not prove that no earlier attempt was run.
                 return Err(progress.may_have_run.unwrap_or(end));
             }
@@ -421,7 +352,7 @@
         &self,
         context: &RequestContext,
         first: OutstandingRequest<C>,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let risk = context.risk_tolerance(progress, self.may_probe(context));
         let options = AttemptOptions { is_retry: progress.attempts > 0, risk };
@@ -456,12 +387,12 @@
     fn pick_upstream(
         &self,
         context: &RequestContext,
-        progress: &mut Progress,
+        progress: &mut progress::Progress,
     ) -> Result<OutstandingRequest<C>, outcome::Rejection> {
-        if progress.contacted >= CONTACTED_MAX {
+        if !progress.may_contact() {
             return Err(outcome::Rejection::NoUpstream);
         }
-        let tried: Vec<_> = progress.tried.iter().copied().collect();
+        let tried: Vec<_> = progress.tried().iter().copied().collect();
         let criteria = router::Criteria {
             service: &context.route_match.service.name,
             floor: context.route_match.service.floor,
@@ -482,8 +413,7 @@
         }
         drop(router);
         let candidate = picked.ok_or(outcome::Rejection::NoUpstream)?;
-        progress.tried.insert(candidate.id.address);
-        progress.contacted += 1;
+        progress.record_contact(candidate.id.address);
         Ok(OutstandingRequest::new(self.shared.clone(), candidate))
     }
 }
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -5,6 +5,7 @@
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
 use lynxmast_state::policy::service;
+use lynxmast_state::progress;
 use lynxmast_state::retry;
 
 use crate::ingress;
@@ -49,14 +50,14 @@
         &self,
         context: &ingress::RequestContext,
         response: &http::Response<B>,
-        progress: &mut ingress::Progress,
+        progress: &mut progress::Progress,
     ) -> bool {
         let end = retry::AttemptEnd::MayHaveRun(outcome::Failure::Shed);
         let candidates = self.shared.router().candidates(&context.route_match.service.name).len();
         let dependency_failed = response.extensions().get::<attempt::DependencyError>().is_some();
         response.status().is_server_error()
             && !dependency_failed
-            && candidates > progress.tried.len()
+            && candidates > progress.tried().len()
             && self.try_retry(context, end, progress.attempts + 1, progress)
     }
 
@@ -68,7 +69,7 @@
         context: &ingress::RequestContext,
         end: retry::AttemptEnd,
         attempts: u32,
-        progress: &mut ingress::Progress,
+        progress: &mut progress::Progress,
     ) -> bool {
         let retry_context = retry::RetryContext {
             end,
@@ -113,7 +114,7 @@
     pub(super) fn pick_hedge(
         &self,
         context: &ingress::RequestContext,
-        progress: &mut ingress::Progress,
+        progress: &mut progress::Progress,
     ) -> Option<ingress::OutstandingRequest<C>> {
         let is_suspected = self.shared.quarantine().is_suspected_head(context.head_hash);
         let allowed = !is_suspected
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -5,6 +5,7 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
+use lynxmast_state::progress;
 use lynxmast_state::retry;
 
 use crate::ingress;
@@ -34,7 +35,7 @@
     pub(super) fn log_success(
         &self,
         context: &ingress::RequestContext,
-        progress: &ingress::Progress,
+        progress: &progress::Progress,
         status: u16,
     ) {
         let Some(skipped) = self.success_sampler.sample() else { return };
@@ -47,7 +48,7 @@
             policy = context.policy_version,
             status,
             attempts = progress.attempts,
-            asked = progress.contacted,
+            asked = progress.contacted(),
             took_ms = elapsed.as_millis() as u64,
             left_out = skipped;
             "request served"
@@ -58,7 +59,7 @@
     pub(super) fn log_request<B>(
         &self,
         context: &ingress::RequestContext,
-        progress: &ingress::Progress,
+        progress: &progress::Progress,
         result: &Result<http::Response<B>, retry::AttemptEnd>,
     ) {
         let (outcome, status) = outcome_of(result);
@@ -77,7 +78,7 @@
             reason = outcome.reason(),
             status,
             attempts = progress.attempts,
-            asked = progress.contacted,
+            asked = progress.contacted(),
             over_budget = progress.over_budget,
             quarantined = progress.is_quarantined,
             took_ms = now.saturating_duration_since(context.arrived).as_millis() as u64,
