--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod sampling;
 pub mod shared_state;
 pub mod slot_usage;
+pub mod startup;
 pub mod statistics;
 pub mod suspension;
 pub mod token_bucket;
--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -119,6 +119,13 @@
         matches!(self.last_end, Some(retry::AttemptEnd::NotRun(last)) if last.is_unavailable())
     }
 
+    /// Starts the search for an upstream anew, for a daemon that has learned of others meanwhile.
+    pub fn restart_search(&mut self) {
+        self.tried.clear();
+        self.suspected.clear();
+        self.contacted_before = self.contacted;
+    }
+
     /// Makes the suspected upstreams eligible again, for attempts that tolerate the suspicion.
     ///
     /// Returns `false` if there are none, or if this was done before.
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -22,6 +22,7 @@
 use crate::rate_limit;
 use crate::retry;
 use crate::router;
+use crate::startup;
 use crate::statistics;
 
 /// Shared state of one daemon.
@@ -29,6 +30,8 @@
 pub struct SharedState<C> {
     /// Time source.
     pub clock: C,
+    /// Start of the daemon.
+    pub startup: startup::Startup,
     /// Name of the daemon, for log lines.
     daemon: ids::DaemonName,
     policy: sync::RwLock<Policy>,
@@ -65,6 +68,7 @@
             router::Router::new(own_record.daemon.clone(), own_record.domain.clone(), balance);
         let ring = event::Ring::new(own_record.daemon.clone(), EVENTS_MAX);
         Self {
+            startup: startup::Startup::new(clock.now()),
             clock,
             daemon: own_record.daemon.clone(),
             policy: Default::default(),
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -137,6 +137,8 @@
     risk: outlier::RiskTolerance,
 }
 
+/// Timeout assumed for requests that state none while there is no policy.
+const POLICY_WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 /// Longest random delay before a retry that follows a second failure.
 const RETRY_DELAY_MAX: time::Duration = time::Duration::from_millis(25);
 /// Shortest `Retry-After` of a request that was rejected for the limits of upstreams.
@@ -163,7 +165,9 @@
     ) -> http::Response<body::ResponseBody<C>> {
         let scheme = &self.identity.header_scheme;
         let id = request.headers().get(&scheme.exchange_id).cloned();
-        let context = match self.accept(request) {
+        let arrived = self.shared.now();
+        self.await_policy(&request, arrived).await;
+        let context = match self.accept(request, arrived) {
             Ok(context) => context,
             Err(rejection) => {
                 let outcome = outcome::Outcome::NotRun(rejection);
@@ -213,8 +217,8 @@
     fn accept(
         &self,
         request: http::Request<Incoming>,
+        arrived: time::Instant,
     ) -> Result<RequestContext, outcome::Rejection> {
-        let now = self.shared.now();
         let (mut head, incoming) = request.into_parts();
         let scheme = &self.identity.header_scheme;
         let parsed = head::RequestHead::parse(&head, scheme)?;
@@ -229,7 +233,7 @@
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
         }
-        self.check_rate_limit(&route_match, now)?;
+        self.check_rate_limit(&route_match, arrived)?;
         let timeout = parsed
             .timeout
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
@@ -249,7 +253,7 @@
         let stall = route_match.service.stall;
         let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
         let policy_version = policy.version;
-        let (arrived, deadline) = (now, now + timeout);
+        let deadline = arrived + timeout;
         Ok(RequestContext {
             route_match,
             policy_version,
@@ -263,6 +267,35 @@
         })
     }
 
+    /// Waits until a daemon that has just started has a current policy.
+    async fn await_policy(&self, request: &http::Request<Incoming>, arrived: time::Instant) {
+        let timeout = head::timeout(request.headers(), &self.identity.header_scheme);
+        let deadline = arrived + timeout.ok().flatten().unwrap_or(POLICY_WAIT_TIMEOUT);
+        while !self.shared.is_current()
+            && let Some(delay) =
+                self.shared.startup.retry_delay(arrived, deadline, self.shared.now())
+        {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    /// Waits for upstreams that a daemon that has just started may not know yet. Returns `false` if
+    /// the request is to be rejected.
+    async fn await_upstream(
+        &self,
+        context: &RequestContext,
+        progress: &mut progress::Progress,
+    ) -> bool {
+        let (arrived, deadline) = (context.arrived, context.deadline);
+        let may_wait = progress.may_have_run.is_none()
+            && (progress.last_end.is_none() || progress.found_unavailable());
+        let delay = self.shared.startup.retry_delay(arrived, deadline, self.shared.now());
+        let Some(delay) = delay.filter(|_| may_wait) else { return false };
+        tokio::time::sleep(delay).await;
+        progress.restart_search();
+        true
+    }
+
     /// Counts the request towards the rate limit of its organisation.
     fn check_rate_limit(
         &self,
@@ -305,7 +338,7 @@
                 // No further upstream can be tried. Once the suspected ones have been tried too,
                 // the result of the last attempt is returned at once.
                 Err(rejection) => {
-                    if progress.retry_suspected() {
+                    if progress.retry_suspected() || self.await_upstream(context, progress).await {
                         continue;
                     }
                     let last_end =
--- a/crates/transport/src/ingress/head.rs
+++ b/crates/transport/src/ingress/head.rs
@@ -44,12 +44,24 @@
             return Err(bad_request);
         }
         let key = single_header(headers, names::ORGANISATION_KEY)?;
-        let timeout =
-            single_header(headers, scheme.timeout.as_str())?.map(time::Duration::from_millis);
+        let timeout = timeout(headers, scheme)?;
         Ok(Self { host: host(head)?, path: path.to_owned(), key, timeout })
     }
 }
 
+/// Returns the timeout set by the caller, if any.
+///
+/// # Errors
+///
+/// Returns `BadRequest` if the header is repeated or malformed.
+pub fn timeout(
+    headers: &header::HeaderMap,
+    scheme: &header_scheme::HeaderScheme,
+) -> Result<Option<time::Duration>, outcome::Rejection> {
+    single_header(headers, scheme.timeout.as_str())
+        .map(|timeout| timeout.map(time::Duration::from_millis))
+}
+
 /// Normalises a head for forwarding: the target is path and query only, with a single `Host`.
 pub fn normalise(head: &mut http::request::Parts, parsed: &RequestHead) {
     let target = head.uri.path_and_query().cloned();
