Wait for other upstreams while a daemon starts if the known ones are suspected

Cause: a daemon that has just started knows its own upstream first. Change: such requests wait like those without any upstream, and do not return to upstreams that have failed them.

--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -36,6 +36,8 @@
     pub last_end: Option<retry::AttemptEnd>,
     /// Addresses of the upstreams already tried.
     tried: IndexSet<net::SocketAddr>,
+    /// Those of the addresses whose backend server was contacted.
+    reached: IndexSet<net::SocketAddr>,
     /// Sidecars to which the request was sent.
     contacted: u32,
     /// Value of `contacted` when suspicion was first ignored.
@@ -92,7 +94,10 @@
     /// Records an attempt that ended without a usable response.
     pub fn record_end(&mut self, upstream: net::SocketAddr, end: retry::AttemptEnd) {
         self.last_end = Some(end);
-        self.attempts += u32::from(end.reached_upstream());
+        if end.reached_upstream() {
+            self.attempts += 1;
+            self.reached.insert(upstream);
+        }
         self.over_budget = end == retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget);
         self.denials += u32::from(self.over_budget);
         if matches!(end, retry::AttemptEnd::MayHaveRun(_)) {
@@ -119,9 +124,23 @@
         matches!(self.last_end, Some(retry::AttemptEnd::NotRun(last)) if last.is_unavailable())
     }
 
+    /// Returns whether the request could succeed at an upstream that is not known yet: none was known,
+    /// or the last one could not be used, is suspected or failed a request that may run again.
+    pub fn could_succeed_elsewhere(&self, idempotent: bool) -> bool {
+        let is_safe = retry::is_safe_to_retry(self.may_have_run, idempotent);
+        let is_worth = match self.last_end {
+            None | Some(retry::AttemptEnd::MayHaveRun(_)) => true,
+            Some(retry::AttemptEnd::NotRun(last)) => {
+                last.is_unavailable() || last == outcome::Rejection::Suspected
+            }
+        };
+        is_worth && (is_safe || self.may_have_run.is_none())
+    }
+
     /// Starts the search for an upstream anew, for a daemon that has learned of others meanwhile.
+    /// Upstreams that were reached are not tried again.
     pub fn restart_search(&mut self) {
-        self.tried.clear();
+        self.tried.clone_from(&self.reached);
         self.suspected.clear();
         self.contacted_before = self.contacted;
     }
--- a/crates/state/src/progress/tests.rs
+++ b/crates/state/src/progress/tests.rs
@@ -68,6 +68,24 @@
     assert_eq!(progress.attempts, 0);
 }
 
+#[test_case(None, false, true; "no upstream was known")]
+#[test_case(Some(retry::AttemptEnd::NotRun(Rejection::Unreachable)), false, true; "the only upstream is unreachable")]
+#[test_case(Some(retry::AttemptEnd::NotRun(Rejection::Suspected)), false, true; "the only upstream is suspected")]
+#[test_case(Some(retry::AttemptEnd::NotRun(Rejection::QueueFull)), false, false; "the only upstream is overloaded")]
+#[test_case(Some(retry::AttemptEnd::MayHaveRun(Failure::Shed)), true, true; "the only upstream failed an idempotent request")]
+#[test_case(Some(retry::AttemptEnd::MayHaveRun(Failure::Shed)), false, false; "the only upstream failed another request")]
+fn a_request_waits_for_unknown_upstreams_if_they_may_serve_it(
+    end: Option<retry::AttemptEnd>,
+    idempotent: bool,
+    expected: bool,
+) {
+    let mut progress = Progress::default();
+    if let Some(end) = end {
+        progress.record_end(address(0), end);
+    }
+    assert_eq!(progress.could_succeed_elsewhere(idempotent), expected);
+}
+
 #[test]
 fn an_attempt_that_may_have_run_is_remembered_after_a_rejection() {
     let mut progress = Progress::default();
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -279,6 +279,13 @@
         }
     }
 
+    /// Returns after what time the request is to be tried again, as this daemon has just started and
+    /// may not know all upstreams; `None` later or if the request has waited for long.
+    fn startup_delay(&self, context: &RequestContext) -> Option<time::Duration> {
+        let (arrived, deadline) = (context.arrived, context.deadline);
+        self.shared.startup.retry_delay(arrived, deadline, self.shared.now())
+    }
+
     /// Waits for upstreams that a daemon that has just started may not know yet. Returns `false` if
     /// the request is to be rejected.
     async fn await_upstream(
@@ -286,10 +293,8 @@
         context: &RequestContext,
         progress: &mut progress::Progress,
     ) -> bool {
-        let (arrived, deadline) = (context.arrived, context.deadline);
-        let may_wait = progress.may_have_run.is_none()
-            && (progress.last_end.is_none() || progress.found_unavailable());
-        let delay = self.shared.startup.retry_delay(arrived, deadline, self.shared.now());
+        let delay = self.startup_delay(context);
+        let may_wait = progress.could_succeed_elsewhere(context.idempotent);
         let Some(delay) = delay.filter(|_| may_wait) else { return false };
         tokio::time::sleep(delay).await;
         progress.restart_search();
@@ -338,7 +343,7 @@
                 // No further upstream can be tried. Once the suspected ones have been tried too,
                 // the result of the last attempt is returned at once.
                 Err(rejection) => {
-                    if progress.retry_suspected() || self.await_upstream(context, progress).await {
+                    if self.await_upstream(context, progress).await || progress.retry_suspected() {
                         continue;
                     }
                     let last_end =
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -57,7 +57,7 @@
         let dependency_failed = response.extensions().get::<attempt::DependencyError>().is_some();
         response.status().is_server_error()
             && !dependency_failed
-            && candidates > progress.tried().len()
+            && (candidates > progress.tried().len() || self.startup_delay(context).is_some())
             && self.try_retry(context, end, progress.attempts + 1, progress)
     }
 
