Prefer the own failure domain in the subset of a large service

Cause: an ingress of 235 used 32 of 183 upstreams, spread evenly over five failure domains, so six or seven in its own; requests crossed into other domains although there was room in their own. Change: up to 20 of the 32 are in the own domain, the others spread over the other domains.

--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -157,6 +157,9 @@
 
 /// Maximum number of upstreams of one service that an ingress uses.
 pub const SUBSET_MAX: usize = 32;
+/// Number of these that may be in the ingress's own failure domain before the other domains have
+/// got their part.
+const OWN_DOMAIN_MAX: usize = 20;
 const LATENCY_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
 /// Half-life of the load that other ingresses cause, as reported by the sidecar.
 const LOAD_HALF_LIFE: time::Duration = time::Duration::from_millis(500);
@@ -377,8 +380,10 @@
         self.pools.iter().map(move |(service, pool)| (service, pool.availability(now)))
     }
 
-    /// Reduces the candidates to [`SUBSET_MAX`], spread over failure domains by rendezvous hashing,
-    /// so that each ingress has its own subset and a membership change affects few of them.
+    /// Reduces the candidates to [`SUBSET_MAX`] by rendezvous hashing, so that each ingress has its own
+    /// subset and a membership change affects few of them. Up to [`OWN_DOMAIN_MAX`] are in the
+    /// ingress's own failure domain, so that most requests find room there; the others are spread
+    /// over the other domains.
     fn subset(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         if candidates.len() <= SUBSET_MAX {
             return candidates;
@@ -393,12 +398,16 @@
         for candidate in candidates {
             by_domain.entry(candidate.domain.clone()).or_default().push_back(candidate);
         }
-        let mut chosen = Vec::with_capacity(SUBSET_MAX);
-        while chosen.len() < SUBSET_MAX {
+        let mut own_domain = by_domain.swap_remove(&self.domain).unwrap_or_default();
+        let preferred = own_domain.len().min(OWN_DOMAIN_MAX);
+        let mut chosen: Vec<Candidate> = own_domain.drain(..preferred).collect();
+        while chosen.len() < SUBSET_MAX && by_domain.values().any(|others| !others.is_empty()) {
             let remaining = SUBSET_MAX - chosen.len();
             let heads = by_domain.values_mut().filter_map(collections::VecDeque::pop_front);
             chosen.extend(heads.take(remaining));
         }
+        let remaining = SUBSET_MAX - chosen.len();
+        chosen.extend(own_domain.into_iter().take(remaining));
         chosen
     }
 }
