Send changed membership records only to daemons that lack them

Cause: every daemon sent each changed record with its next ten messages, whoever had it. After a start of all daemons at once, rounds of one second and 16 records a message took 1.5 s and more to make them known to each other. Ruled out: the choice of upstreams (the subsets changed the price by a tenth). Change: changed records are announced by their digests and sent on request; departures and the own record are sent at once. A daemon that has just started compares all records every 100 ms while it learns of others. The membership is split by purpose (message, exchange, round, change). Result: a_changed_record_is_sent_to_each_daemon_about_once and daemons_that_start_at_once_learn_of_each_other (30, 100, 300 daemons).

--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -46,9 +46,9 @@
             if gossip.shared.quarantine().has_pending() {
                 gossip.shared.membership().expedite();
             }
-            let fanout = gossip.shared.membership().fanout(ticks);
-            if fanout > 0 {
-                gossip.start_round(fanout);
+            let round = gossip.shared.membership().next_round(ticks);
+            if let Some(round) = round {
+                gossip.start_round(round);
             }
         }
     }
@@ -65,41 +65,45 @@
         self.shared.quarantine().expire(now);
     }
 
-    fn start_round(self: &sync::Arc<Self>, fanout: usize) {
-        for partner in self.partners(fanout) {
+    fn start_round(self: &sync::Arc<Self>, round: membership::Round) {
+        for partner in self.partners(round) {
             let gossip = self.clone();
-            tokio::spawn(async move { gossip.exchange(partner).await });
+            tokio::spawn(async move { gossip.exchange(partner, round.kind).await });
         }
     }
 
     /// Returns the addresses for one round: random members, and sometimes one seed. A seed is
-    /// always added if too few members are known.
-    fn partners(&self, fanout: usize) -> Vec<net::SocketAddr> {
+    /// always added if too few members are known or this daemon has just started.
+    fn partners(&self, round: membership::Round) -> Vec<net::SocketAddr> {
         let mut rng = rand::rng();
-        let mut partners = self.shared.membership().gossip_targets(fanout, &mut rng);
-        if partners.len() < fanout || rng.random_bool(SEED_PROBABILITY) {
+        let mut partners = self.shared.membership().gossip_targets(round, &mut rng);
+        let needs_seed =
+            partners.len() < round.fanout || round.kind == membership::RoundKind::Startup;
+        if needs_seed || rng.random_bool(SEED_PROBABILITY) {
             let seeds = self.seeds.lock().unwrap_or_else(sync::PoisonError::into_inner);
             partners.extend(seeds.choose(&mut rng));
         }
         partners
     }
 
-    async fn exchange(&self, partner: net::SocketAddr) {
-        let mut opening = self.shared.membership().opening_message();
+    async fn exchange(&self, partner: net::SocketAddr, kind: membership::RoundKind) {
+        let mut opening = self.shared.membership().opening_message(kind);
         opening.suspects = self.shared.quarantine().opening_update(self.shared.now());
         let Ok(response) = self.client.exchange(partner, opening).await else {
             metrics::counter!("lynxmast_exchanges_failed_total").increment(1);
             return;
         };
         let now = self.shared.now();
-        let (requested, changes) = self.shared.membership().apply(&response, now);
+        let (mut follow_up, changes) = self.shared.membership().apply(&response, now);
         apply_changes(&self.shared, changes);
         merge_suspects(&self.shared, &response.suspects);
-        if !requested.records.is_empty() {
-            // Sends the records that the partner requested. Its response is ignored, since it
-            // contains nothing new.
-            let _ = self.client.exchange(partner, requested).await;
+        if follow_up.is_empty() {
+            return;
         }
+        follow_up.suspects = self.shared.quarantine().opening_update(now);
+        let Ok(response) = self.client.exchange(partner, follow_up).await else { return };
+        let (_, changes) = self.shared.membership().apply(&response, self.shared.now());
+        apply_changes(&self.shared, changes);
     }
 }
 
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -1,42 +1,24 @@
 //! Membership state of one daemon: its own record, the records of its peers, and which of them are
 //! still to be gossiped.
 
-use std::collections;
-use std::net;
+mod change;
+mod exchange;
+mod message;
+mod round;
+
 use std::time;
 
 use indexmap::IndexMap;
-use rand::Rng;
-use rand::seq::IteratorRandom;
 
 use crate::ids;
 use crate::member;
-use crate::quarantine;
 use crate::read_turn;
 use crate::router;
 
-value! {
-    /// Anti-entropy message, both request and response.
-    #[derive(Default)]
-    pub struct GossipMessage {
-        /// Digests of some of the records that the sender holds.
-        pub digests: Vec<member::Digest>,
-        /// Records that the receiver may lack.
-        pub records: Vec<member::Record>,
-        /// Daemons whose newer records the sender requests.
-        #[serde(rename = "wants")]
-        pub requested: Vec<ids::DaemonName>,
-        /// Whether the sender has just started and requests all records.
-        #[serde(rename = "wants-all")]
-        pub requests_all: bool,
-        /// Whether `records` holds every record of the sender.
-        #[serde(rename = "is-all")]
-        pub is_full: bool,
-        /// Requests that are suspected of crashing upstreams.
-        #[serde(default)]
-        pub suspects: quarantine::SuspectUpdate,
-    }
-}
+pub use change::Change;
+pub use message::GossipMessage;
+pub use round::Round;
+pub use round::RoundKind;
 
 /// Fleet membership as seen by one daemon.
 #[derive(Debug)]
@@ -49,8 +31,12 @@
     generation: u64,
     /// Whether a peer has sent all its records.
     is_synced: bool,
-    /// Number of coming ticks that use [`URGENT_FANOUT`].
+    /// Number of coming ticks with an urgent round.
     urgent_ticks: u32,
+    /// Number of coming ticks in which the daemon counts as starting.
+    startup_ticks: u32,
+    /// Number of ticks since the last daemon was learned of.
+    quiet_ticks: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -70,23 +56,6 @@
     pub preceding: usize,
 }
 
-/// Change in the state of a peer.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Change {
-    /// A daemon joined, or rejoined after a restart.
-    DaemonJoined(ids::DaemonName),
-    /// A daemon announced its shutdown.
-    DaemonLeaving(ids::DaemonName),
-    /// No heartbeat of a daemon arrived for [`REMOVAL_TIMEOUT`].
-    DaemonGone(ids::DaemonName),
-    /// An upstream accepts requests.
-    UpstreamServing(ids::UpstreamId),
-    /// An upstream no longer accepts new requests.
-    UpstreamDraining(ids::UpstreamId),
-    /// An upstream was removed from its daemon's record.
-    UpstreamGone(ids::UpstreamId),
-}
-
 /// Time without a heartbeat after which a daemon's upstreams get no new requests, before the
 /// extension for each peer.
 pub const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -97,47 +66,29 @@
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Ticks between heartbeats.
 pub const TICKS_PER_HEARTBEAT: u32 = 20;
-/// Ticks between gossip rounds while no updates are pending.
-const TICKS_PER_IDLE_ROUND: u32 = 20;
-/// Ticks between gossip rounds while updates are pending, in a small fleet.
-const TICKS_PER_UPDATE_ROUND: u32 = 4;
-/// Number of ticks after a new policy version or source epoch that use [`URGENT_FANOUT`].
+/// Number of ticks after a new policy version or source epoch with an urgent round.
 const NEWS_URGENT_TICKS: u32 = 4;
-/// Number of peers from which a fleet counts as large. A large fleet always has pending updates, so
-/// its rounds keep a constant interval.
-const LARGE_FLEET_PEERS: usize = 128;
-/// Minimum number of digests in a message of a small fleet.
-const DIGESTS_MIN: usize = 16;
-/// Probability that a non-urgent round only contacts peers in the same failure domain, since
-/// traffic between domains costs most.
-const SAME_DOMAIN_PROBABILITY: f64 = 0.75;
-/// Peers contacted in a gossip round.
-const FANOUT: usize = 2;
-/// Peers contacted in a gossip round with urgent updates.
-const URGENT_FANOUT: usize = 4;
 /// Time without a heartbeat after which a daemon's record is removed. The record of a daemon that
 /// announced its shutdown is kept for the same time.
 pub const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(120);
-const DIGESTS_MAX: usize = 160;
-const RECORDS_MAX: usize = 16;
-/// Number of times that each daemon sends a changed record, plus one for each doubling of the fleet
-/// size.
-const SENDS_MIN: u32 = 2;
 
 impl Membership {
     /// Returns the membership of a daemon that knows no peers.
     pub fn new(own_record: member::Record) -> Self {
-        let mut pending = IndexMap::new();
-        pending.insert(own_record.daemon.clone(), SENDS_MIN);
-        Self {
+        let own_name = own_record.daemon.clone();
+        let mut membership = Self {
             own_record,
             peers: IndexMap::new(),
-            pending,
+            pending: IndexMap::new(),
             digest_cursor: 0,
             generation: 1,
             is_synced: false,
             urgent_ticks: 0,
-        }
+            startup_ticks: round::STARTUP_TICKS,
+            quiet_ticks: 0,
+        };
+        membership.mark_pending(own_name);
+        membership
     }
 
     /// Returns this daemon's record.
@@ -214,36 +165,6 @@
         self.mark_pending(self.own_record.daemon.clone());
     }
 
-    /// Returns whether an urgent record is still to be gossiped, as defined by
-    /// [`member::Record::is_urgent`].
-    pub fn has_urgent_update(&self) -> bool {
-        let pending = self.pending.keys().filter_map(|name| self.record(name));
-        pending.into_iter().any(member::Record::is_urgent)
-    }
-
-    /// Returns the number of peers to gossip with in the tick numbered `tick`. It is 0 in most
-    /// ticks, so that traffic stays bounded in a large fleet; urgent updates are sent at once.
-    pub fn fanout(&mut self, tick: u32) -> usize {
-        let is_urgent = self.urgent_ticks > 0;
-        self.urgent_ticks = self.urgent_ticks.saturating_sub(1);
-        if is_urgent || self.has_urgent_update() {
-            return URGENT_FANOUT;
-        }
-        let is_small = self.peers.len() < LARGE_FLEET_PEERS;
-        let has_updates = is_small && !(self.pending.is_empty() && self.is_synced);
-        let period = if has_updates { TICKS_PER_UPDATE_ROUND } else { TICKS_PER_IDLE_ROUND };
-        match tick.is_multiple_of(period) {
-            true if is_small && !has_updates => 1,
-            true => FANOUT,
-            false => 0,
-        }
-    }
-
-    /// Makes the next tick contact [`URGENT_FANOUT`] peers, for news that is not part of a record.
-    pub fn expedite(&mut self) {
-        self.urgent_ticks = self.urgent_ticks.max(1);
-    }
-
     /// Marks the membership as synchronised and drops all pending updates, as if they had been
     /// sent.
     pub fn mark_synced(&mut self) {
@@ -289,81 +210,6 @@
         counts
     }
 
-    /// Selects up to `count` random peers to gossip with and returns their control addresses.
-    pub fn gossip_targets(&self, count: usize, rng: &mut impl Rng) -> Vec<net::SocketAddr> {
-        let is_same_domain = |peer: &&Peer| peer.record.domain == self.own_record.domain;
-        let is_urgent = self.urgent_ticks > 0 || self.has_urgent_update();
-        let prefers_same_domain = !is_urgent && rng.random_bool(SAME_DOMAIN_PROBABILITY);
-        let same_domain = self.peers.values().filter(is_same_domain).choose_multiple(rng, count);
-        let chosen = if prefers_same_domain && same_domain.len() == count {
-            same_domain
-        } else {
-            self.peers.values().choose_multiple(rng, count)
-        };
-        chosen.into_iter().map(|peer| peer.record.control).collect()
-    }
-
-    /// Builds the first message of a gossip exchange, bounded in the number of digests and records.
-    pub fn opening_message(&mut self) -> GossipMessage {
-        let digests = self.next_digests();
-        let records = self.take_pending();
-        let requests_all = !self.is_synced;
-        GossipMessage { digests, records, requests_all, ..GossipMessage::default() }
-    }
-
-    /// Applies a message and returns the response and the changes that the message caused.
-    pub fn respond(
-        &mut self,
-        message: &GossipMessage,
-        now: time::Instant,
-    ) -> (GossipMessage, Vec<Change>) {
-        let (mut reply, changes) = self.apply(message, now);
-        reply.digests.push(self.own_record.digest());
-        if message.requests_all {
-            reply.records = self.all_records().cloned().collect();
-            reply.is_full = true;
-            return (reply, changes);
-        }
-        reply.records.extend(self.take_pending());
-        reply.records.truncate(RECORDS_MAX);
-        (reply, changes)
-    }
-
-    /// Applies a message. Returns a reply with the records that the sender lacks or requested and
-    /// the names of those that it should send, and the changes that the message caused.
-    pub fn apply(
-        &mut self,
-        message: &GossipMessage,
-        now: time::Instant,
-    ) -> (GossipMessage, Vec<Change>) {
-        let mut changes = Vec::new();
-        self.is_synced |= message.is_full;
-        for record in &message.records {
-            self.merge(record, now, &mut changes);
-        }
-        if message.is_full {
-            // The rest of the fleet already has these records; only this daemon's is new to it.
-            self.pending.retain(|name, _| *name == self.own_record.daemon);
-        }
-        let mut reply = GossipMessage::default();
-        for digest in &message.digests {
-            match self.compare(digest, now) {
-                outdated @ (Outdated::Sender | Outdated::Receiver) => {
-                    if outdated == Outdated::Receiver {
-                        reply.requested.push(digest.daemon.clone());
-                    } else if reply.records.len() < RECORDS_MAX {
-                        reply.records.extend(self.record(&digest.daemon).cloned());
-                    }
-                }
-                Outdated::Neither => {}
-            }
-        }
-        for name in message.requested.iter().take(RECORDS_MAX) {
-            reply.records.extend(self.record(name).cloned());
-        }
-        (reply, changes)
-    }
-
     /// Updates which peers are live, removes those without a heartbeat for [`REMOVAL_TIMEOUT`], and
     /// returns the removals.
     pub fn expire(&mut self, now: time::Instant) -> Vec<Change> {
@@ -395,100 +241,6 @@
         }
         self.peers.get(name).map(|peer| &peer.record)
     }
-
-    fn merge(&mut self, record: &member::Record, now: time::Instant, changes: &mut Vec<Change>) {
-        if record.daemon == self.own_record.daemon {
-            self.refute(record);
-            return;
-        }
-        let known = self.peers.get_mut(&record.daemon);
-        if let Some(peer) = known.filter(|peer| !record.is_newer_than(&peer.record.digest())) {
-            peer.record_heartbeat(&record.digest(), now);
-            return;
-        }
-        let old = self.peers.get(&record.daemon).map(|peer| &peer.record);
-        collect_changes(old, record, changes);
-        let peer = Peer { record: record.clone(), last_seen: now, was_live: true };
-        self.peers.insert(record.daemon.clone(), peer);
-        self.generation += 1;
-        self.mark_pending(record.daemon.clone());
-    }
-
-    /// Gives this daemon's record a higher version than `record`, which an earlier instance of the
-    /// daemon published and which still circulates.
-    fn refute(&mut self, record: &member::Record) {
-        if record.incarnation == self.own_record.incarnation
-            && record.version > self.own_record.version
-        {
-            self.own_record.version = record.version;
-            self.update_own_record(|_| ());
-        } else if record.is_newer_than(&self.own_record.digest()) {
-            self.own_record.incarnation = record.incarnation + 1;
-            self.update_own_record(|_| ());
-        }
-    }
-
-    fn compare(&mut self, digest: &member::Digest, now: time::Instant) -> Outdated {
-        if digest.daemon == self.own_record.daemon {
-            return if self.own_record.is_newer_than(digest) {
-                Outdated::Sender
-            } else {
-                Outdated::Neither
-            };
-        }
-        let Some(peer) = self.peers.get_mut(&digest.daemon) else { return Outdated::Receiver };
-        if peer.record.is_newer_than(digest) {
-            return Outdated::Sender;
-        }
-        let known = (peer.record.incarnation, peer.record.version);
-        if (digest.incarnation, digest.version) > known {
-            return Outdated::Receiver;
-        }
-        peer.record_heartbeat(digest, now);
-        Outdated::Neither
-    }
-
-    /// Returns the digests of this daemon and of the next peers in rotation.
-    fn next_digests(&mut self) -> Vec<member::Digest> {
-        let peers = self.peers.len();
-        let wanted = if peers < LARGE_FLEET_PEERS { (peers / 2).max(DIGESTS_MIN) } else { peers };
-        let count = wanted.min(peers).min(DIGESTS_MAX - 1);
-        let next = self.peers.values().cycle().skip(self.digest_cursor).take(count);
-        let digests = next.map(|peer| peer.record.digest());
-        let all = std::iter::once(self.own_record.digest()).chain(digests).collect();
-        self.digest_cursor = (self.digest_cursor + count) % self.peers.len().max(1);
-        all
-    }
-
-    /// Returns the next records to gossip, urgent ones first.
-    fn take_pending(&mut self) -> Vec<member::Record> {
-        let mut names: Vec<ids::DaemonName> = self.pending.keys().cloned().collect();
-        names.sort_by_key(|name| !self.record(name).is_some_and(member::Record::is_urgent));
-        names.truncate(RECORDS_MAX);
-        for name in &names {
-            let Some(sends_left) = self.pending.get_mut(name) else { continue };
-            *sends_left -= 1;
-            if *sends_left == 0 {
-                self.pending.swap_remove(name);
-            }
-        }
-        names.iter().filter_map(|name| self.record(name).cloned()).collect()
-    }
-
-    /// Schedules a record for gossip. The number of sends grows with the logarithm of the fleet
-    /// size, as epidemic dissemination needs to reach every daemon.
-    fn mark_pending(&mut self, name: ids::DaemonName) {
-        let doublings = usize::BITS - (self.peers.len() + 1).leading_zeros();
-        self.pending.insert(name, SENDS_MIN + doublings);
-    }
-}
-
-/// Side of an exchange that holds the older state of a record.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Outdated {
-    Sender,
-    Receiver,
-    Neither,
 }
 
 impl Peer {
@@ -520,28 +272,5 @@
     })
 }
 
-fn collect_changes(old: Option<&member::Record>, new: &member::Record, changes: &mut Vec<Change>) {
-    if old.is_none_or(|old| old.incarnation != new.incarnation) {
-        changes.push(Change::DaemonJoined(new.daemon.clone()));
-    }
-    if new.leaving && old.is_none_or(|old| !old.leaving) {
-        changes.push(Change::DaemonLeaving(new.daemon.clone()));
-    }
-    let old_upstreams = old.map_or(&[][..], |old| &old.upstreams);
-    let was_draining: collections::HashMap<&ids::UpstreamId, bool> =
-        old_upstreams.iter().map(|upstream| (&upstream.id, upstream.draining)).collect();
-    for upstream in &new.upstreams {
-        match (was_draining.get(&upstream.id), upstream.draining) {
-            (Some(before), after) if *before == after => {}
-            (_, true) => changes.push(Change::UpstreamDraining(upstream.id.clone())),
-            (_, false) => changes.push(Change::UpstreamServing(upstream.id.clone())),
-        }
-    }
-    let kept: collections::HashSet<&ids::UpstreamId> =
-        new.upstreams.iter().map(|upstream| &upstream.id).collect();
-    let removed = old_upstreams.iter().filter(|upstream| !kept.contains(&upstream.id));
-    changes.extend(removed.map(|upstream| Change::UpstreamGone(upstream.id.clone())));
-}
-
 #[cfg(test)]
 mod tests;
