Make fewer calls to the store at a start

Cause: each start cost an append, two reads and 1.8 waits on average. Every daemon waited at the store before the membership showed that others do, and a restarted one registered an endpoint that was registered. Change: a daemon waits half a second after the first response, and registers only an endpoint that is missing. Result: a_start_costs_three_calls_and_a_restart_two failed before (32 calls for 8 starts).

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -60,8 +60,8 @@
 /// Addresses of daemons that gossip contacts in addition to the known members.
 pub type Seeds = sync::Arc<sync::Mutex<Vec<net::SocketAddr>>>;
 
-/// Registers a daemon at its start, and again if a restore of the registry has lost the endpoint.
-/// Looks up seeds at the start and whenever no other daemon is live.
+/// Registers a daemon at its first start, and again if a restore of the registry has lost the
+/// endpoint. Looks up seeds at the start and whenever no other daemon is live.
 #[derive(Debug)]
 pub struct Bootstrap<C: clock::Clock, D: Discovery> {
     /// State shared by all parts of the daemon.
@@ -78,6 +78,9 @@
 const BACKOFF_MAX: time::Duration = time::Duration::from_secs(2);
 /// Time between checks of whether the registry was restored. A check is local.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Checks before the second lookup if no other daemon is live: others may have started at the same
+/// time and have registered since.
+const CHECKS_FIRST: u32 = 2;
 /// Checks between two lookups while no other daemon is live.
 const CHECKS_PER_LOOKUP: u32 = 12;
 /// Time over which the daemons spread their calls after a restore of the registry, which limits the
@@ -85,7 +88,7 @@
 const RESTORE_SPREAD: time::Duration = time::Duration::from_millis(1500);
 
 impl<C: clock::Clock, D: Discovery> Bootstrap<C, D> {
-    /// Registers this daemon's endpoint and looks up seeds. Then keeps the endpoint registered, and
+    /// Looks up seeds and registers this daemon's endpoint. Then keeps the endpoint registered, and
     /// looks up seeds again whenever no other daemon is live, until `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         let own = {
@@ -93,11 +96,9 @@
             let own = membership.own_record();
             Endpoint { daemon: own.daemon.clone(), control: own.control }
         };
-        // Registers before looking up others, so that of two daemons that start at the same time
-        // at least one finds the other.
         let mut backoff = BACKOFF_MIN;
         let registered = loop {
-            match self.register(&own).await {
+            match self.join(&own).await {
                 Ok(epoch) => break epoch,
                 Err(error) => {
                     log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
@@ -128,7 +129,9 @@
                 let repaired = self.repair_registration(own).await;
                 // A registry that does not state its epoch is assumed to have the newest one.
                 repaired.map(|epoch| registered = if epoch == 0 { newest } else { epoch })
-            } else if is_alone && checks.is_multiple_of(CHECKS_PER_LOOKUP) {
+            } else if is_alone
+                && (checks == CHECKS_FIRST || checks.is_multiple_of(CHECKS_PER_LOOKUP))
+            {
                 self.refresh_seeds(own).await.map(drop)
             } else {
                 Ok(())
@@ -162,12 +165,18 @@
         self.discovery.register(own).await
     }
 
-    async fn register(
-        &self,
-        own: &Endpoint,
-    ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+    /// Looks up seeds, and registers the endpoint unless an earlier process of the daemon has done
+    /// so. Returns the epoch of the registry that holds it.
+    async fn join(&self, own: &Endpoint) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        let directory = self.refresh_seeds(own).await?;
+        if directory.endpoints.contains(own) {
+            return Ok(directory.epoch);
+        }
         let epoch = self.discovery.register(own).await?;
-        self.refresh_seeds(own).await?;
+        if directory.endpoints.is_empty() {
+            // Of the first daemons that start at the same time, at least one finds the others.
+            self.refresh_seeds(own).await?;
+        }
         Ok(epoch)
     }
 
--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -90,9 +90,9 @@
             }
             if result.is_ok() {
                 backoff = BACKOFF_MIN;
-                if is_first && !self.shared.is_current() {
-                    // No document has been published yet. Only a few daemons need to wait for it;
-                    // which ones is known once the membership has converged.
+                if is_first {
+                    // Only a few daemons need to wait for the next document; which ones is known
+                    // once the membership has converged.
                     stop.run_until_cancelled(tokio::time::sleep(ROLE_CHECK_INTERVAL)).await;
                 }
                 continue;
