Run pipelined requests at the same time

Cause: the HTTP implementation reads a request after the response to the previous one. Ruled out: one HTTP connection in memory for each request (framing and limits twice). Change: the stream of a connection reads ahead while a response is outstanding and starts requests without a body that may run more than once; the HTTP implementation gets them in turn. What was started is answered in a planned stop, what was not started is not read.

--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -177,7 +177,7 @@
             header_scheme: sidecar.header_scheme(),
         };
         let ingress = sync::Arc::new(ingress::Ingress::new(shared.clone(), sidecar, identity));
-        let serving = ingress_port.run(ingress.clone(), self.ingress_stop.clone());
+        let serving = ingress_port.run_pipelined(ingress.clone(), self.ingress_stop.clone());
         self.ingress_tasks.spawn(serving);
         self.spawn_periodic_tasks(ingress);
         shared.record_event(event::Kind::Started);
--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -115,6 +115,13 @@
         self.by_name.get(organisation).and_then(|found| found.organisation.rate)
     }
 
+    /// Returns the route of a request, whatever its organisation; `None` if no route matches. `host`
+    /// is in lower case and without port.
+    pub fn find_route(&self, host: &str, path: &str, method: &str) -> Option<&route::Route> {
+        let mut routes = self.routes.get(host)?.iter().map(|candidate| &*candidate.route);
+        routes.find(|route| route.matches(path, method))
+    }
+
     /// Finds the route, service and organisation of a request.
     ///
     /// `host` is in lower case and without port; `key` is the organisation's key as sent by the
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -11,6 +11,7 @@
 use std::sync;
 use std::time;
 
+use http::request;
 use hyper::body::Incoming;
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
@@ -30,6 +31,7 @@
 use crate::body;
 use crate::error_response;
 use crate::hop;
+use crate::incoming_body;
 use crate::peers;
 use crate::replay;
 use crate::server;
@@ -161,7 +163,7 @@
     /// Serves one caller's request. Rejections and failures are returned as HTTP responses too.
     pub async fn serve_caller(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<incoming_body::IncomingBody>,
     ) -> http::Response<body::ResponseBody<C>> {
         let scheme = &self.identity.header_scheme;
         let id = request.headers().get(&scheme.exchange_id).cloned();
@@ -216,7 +218,7 @@
     /// the head for forwarding.
     fn accept(
         &self,
-        request: http::Request<Incoming>,
+        request: http::Request<incoming_body::IncomingBody>,
         arrived: time::Instant,
     ) -> Result<RequestContext, outcome::Rejection> {
         let (mut head, incoming) = request.into_parts();
@@ -268,7 +270,7 @@
     }
 
     /// Waits until a daemon that has just started has a current policy.
-    async fn await_policy(&self, request: &http::Request<Incoming>, arrived: time::Instant) {
+    async fn await_policy<B>(&self, request: &http::Request<B>, arrived: time::Instant) {
         let timeout = head::timeout(request.headers(), &self.identity.header_scheme);
         let deadline = arrived + timeout.ok().flatten().unwrap_or(POLICY_WAIT_TIMEOUT);
         while !self.shared.is_current()
@@ -491,6 +493,26 @@
         request: http::Request<Incoming>,
         _: net::SocketAddr,
     ) -> http::Response<Self::Body> {
-        self.serve_caller(request).await
+        self.serve_caller(request.map(incoming_body::IncomingBody::Streamed)).await
+    }
+}
+
+impl<C: clock::Clock> server::EarlyHandler for Ingress<C> {
+    fn starts_early(&self, head: &request::Parts) -> bool {
+        let scheme = &self.identity.header_scheme;
+        let Ok(parsed) = head::RequestHead::parse(head, scheme) else { return false };
+        let policy = self.shared.policy();
+        let route = policy.find_route(&parsed.host, &parsed.path, head.method.as_str());
+        route.is_some_and(|route| route.idempotent)
+            && !head.headers.contains_key(names::IDEMPOTENCY_KEY)
+    }
+
+    async fn handle_early(
+        &self,
+        head: request::Parts,
+        _: net::SocketAddr,
+    ) -> http::Response<Self::Body> {
+        let body = incoming_body::IncomingBody::Empty;
+        self.serve_caller(http::Request::from_parts(head, body)).await
     }
 }
--- a/crates/transport/src/replay.rs
+++ b/crates/transport/src/replay.rs
@@ -16,6 +16,7 @@
 use lynxmast_state::fingerprint;
 
 use crate::body_error;
+use crate::incoming_body;
 use crate::stall_timeout;
 
 /// Largest size in bytes that is buffered for another attempt; well above the flow-control window
@@ -30,7 +31,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    incoming: body::Incoming,
+    incoming: incoming_body::IncomingBody,
     timer: stall_timeout::StallTimer,
     buffered: Vec<Bytes>,
     buffered_size: usize,
@@ -67,7 +68,7 @@
     /// Wraps a caller's body, which is hashed with `key` as it arrives; it fails after
     /// `stall_timeout` without progress.
     pub fn new(
-        incoming: body::Incoming,
+        incoming: incoming_body::IncomingBody,
         stall_timeout: time::Duration,
         key: fingerprint::Key,
     ) -> Self {
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic;
 use std::time;
 
+use http::request;
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::service;
@@ -15,9 +16,13 @@
 use hyper_util::server::graceful;
 use tokio::net as tcp;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+use tokio_util::task::TaskTracker;
 
 use crate::body_error;
+use crate::guarded_body;
 use crate::peers;
+use crate::pipeline;
 use crate::socket;
 
 /// Limits for request heads.
@@ -53,6 +58,21 @@
     ) -> impl Future<Output = http::Response<Self::Body>> + Send;
 }
 
+/// Handler of callers that may pipeline their requests.
+pub trait EarlyHandler: Handler<Body: Unpin> {
+    /// Returns whether a request without a body may be started before the responses to the previous
+    /// requests on its connection are complete. If one of these closes the connection, the caller
+    /// counts the request as not read and sends it again.
+    fn starts_early(&self, head: &request::Parts) -> bool;
+
+    /// Serves a request without a body that [`EarlyHandler::starts_early`] allows.
+    fn handle_early(
+        &self,
+        head: request::Parts,
+        peer: net::SocketAddr,
+    ) -> impl Future<Output = http::Response<Self::Body>> + Send;
+}
+
 /// A server that listens on one port.
 #[derive(Debug)]
 pub struct Server {
@@ -70,6 +90,9 @@
 const READ_BUFFER_MIN: usize = 8 * 1024;
 /// Maximum number of headers in an HTTP/1 request.
 const HEADERS_MAX: usize = 100;
+/// Maximum number of requests that a server has started early; bounds the memory for responses that
+/// wait for their turn.
+const EARLY_REQUESTS_MAX: usize = 256;
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
@@ -96,7 +119,31 @@
 
     /// Serves until `stop` is cancelled, then completes requests in flight and returns.
     pub async fn run<H: Handler>(self, handler: sync::Arc<H>, stop: CancellationToken) {
-        let graceful = graceful::GracefulShutdown::new();
+        let serve = |accepted| serve_plain(accepted, handler.clone());
+        self.accept(|| handler.limits(), serve, stop).await;
+    }
+
+    /// Serves like [`Server::run`], and starts pipelined requests that the handler allows to be
+    /// started before the responses to the previous ones are complete.
+    pub async fn run_pipelined<H: EarlyHandler>(
+        self,
+        handler: sync::Arc<H>,
+        stop: CancellationToken,
+    ) {
+        let permits = sync::Arc::new(tokio::sync::Semaphore::new(EARLY_REQUESTS_MAX));
+        let serve = |accepted| serve_pipelined(accepted, handler.clone(), permits.clone());
+        self.accept(|| handler.limits(), serve, stop).await;
+    }
+
+    /// Accepts connections and spawns the task that `serve` returns for each. When `stop` is
+    /// cancelled, waits for these tasks to end.
+    async fn accept<F: Future<Output = ()> + Send + 'static>(
+        self,
+        limits: impl Fn() -> Limits,
+        serve: impl Fn(Accepted) -> F,
+        stop: CancellationToken,
+    ) {
+        let tasks = TaskTracker::new();
         loop {
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
@@ -111,27 +158,109 @@
                 metrics::counter!("lynxmast_connections_refused_total").increment(1);
                 continue;
             }
-            let limits = handler.limits();
-            let handler = handler.clone();
-            let stop_signal = stop.clone();
-            let serve = service::service_fn(move |request| {
-                let handler = handler.clone();
-                async move { Ok::<_, convert::Infallible>(handler.handle(request, peer).await) }
-            });
-            let (builder, watcher) = (builder(limits), graceful.watcher());
-            tokio::spawn(async move {
-                if !receives_first_byte(&stream, &stop_signal, limits.head_time).await {
-                    return;
-                }
-                let connection = builder.serve_connection(rt::TokioIo::new(stream), serve);
-                if watcher.watch(connection.into_owned()).await.is_err() {
-                    metrics::counter!("lynxmast_connections_failed_total").increment(1);
-                }
-                drop(guard);
-            });
+            let (limits, stop) = (limits(), stop.clone());
+            tasks.spawn(serve(Accepted { stream, peer, limits, stop, _guard: guard }));
         }
         drop(self.listener);
-        graceful.shutdown().await;
+        tasks.close();
+        tasks.wait().await;
+    }
+}
+
+/// A connection that was accepted.
+struct Accepted {
+    stream: tcp::TcpStream,
+    peer: net::SocketAddr,
+    limits: Limits,
+    stop: CancellationToken,
+    _guard: ConnectionGuard,
+}
+
+async fn serve_plain<H: Handler>(accepted: Accepted, handler: sync::Arc<H>) {
+    let Accepted { stream, peer, limits, stop, _guard } = accepted;
+    if !receives_first_byte(&stream, &stop, limits.head_time).await {
+        return;
+    }
+    let serve = service::service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, convert::Infallible>(handler.handle(request, peer).await) }
+    });
+    let builder = builder(limits);
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), serve);
+    drive(connection, stop.cancelled()).await;
+}
+
+/// Response to a request that was started early, with the permit to hold it.
+type EarlyResponse<B> = (http::Response<B>, tokio::sync::OwnedSemaphorePermit);
+
+async fn serve_pipelined<H: EarlyHandler>(
+    accepted: Accepted,
+    handler: sync::Arc<H>,
+    permits: sync::Arc<tokio::sync::Semaphore>,
+) {
+    let Accepted { stream, peer, limits, stop, _guard } = accepted;
+    if !receives_first_byte(&stream, &stop, limits.head_time).await {
+        return;
+    }
+    let started: sync::Arc<pipeline::Started<EarlyResponse<H::Body>>> = Default::default();
+    let (early_handler, early_started) = (handler.clone(), started.clone());
+    let start = move |head: request::Parts| {
+        if !early_handler.starts_early(&head) {
+            return false;
+        }
+        let Ok(permit) = permits.clone().try_acquire_owned() else { return false };
+        metrics::counter!("lynxmast_pipelined_total").increment(1);
+        let (handler, expected) = (early_handler.clone(), head.clone());
+        let response =
+            tokio::spawn(async move { (handler.handle_early(head, peer).await, permit) });
+        early_started.push(expected, AbortOnDropHandle::new(response));
+        true
+    };
+    let stream = pipeline::ReadAhead::new(stream, limits.head_size, started.clone(), start);
+    let service_started = started.clone();
+    let serve = service::service_fn(move |request: http::Request<Incoming>| {
+        let (handler, started) = (handler.clone(), service_started.clone());
+        let (head, body) = request.into_parts();
+        let early = started.take(&head);
+        async move {
+            let early = match early {
+                Some(early) => early.await.ok(),
+                None => None,
+            };
+            let (response, permit) = match early {
+                Some((response, permit)) => (response, Some(permit)),
+                None => (handler.handle(http::Request::from_parts(head, body), peer).await, None),
+            };
+            let guard = (started.finish_guard(), permit);
+            Ok::<_, convert::Infallible>(
+                response.map(|body| guarded_body::GuardedBody::new(body, guard)),
+            )
+        }
+    });
+    let builder = builder(limits);
+    let connection = builder.serve_connection(stream, serve);
+    let stopped = async {
+        stop.cancelled().await;
+        started.stop().await;
+    };
+    drive(connection, stopped).await;
+}
+
+/// Drives a connection to its end. After `stopped`, no further request is read on it.
+async fn drive<C: graceful::GracefulConnection>(connection: C, stopped: impl Future<Output = ()>)
+where
+    C::Error: std::fmt::Debug,
+{
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stopped => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if result.is_err() {
+        metrics::counter!("lynxmast_connections_failed_total").increment(1);
     }
 }
 
