Start the split of a route at another position on each daemon and version

Cause: every daemon started the sequence that splits a route at the same position, after each start and each new version. The first requests at each of 235 daemons all went to the same part. Change: the sequence starts at a position that depends on daemon, version and route. Result: the_parts_of_a_split_route_get_their_shares failed for one and two requests at each of 235 daemons (share 1.0 and 1.0 and 0.5 in place of 0.7). Shares while a part is gone and after new weights are tested on the store's fake (passed from the start).

--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -2,6 +2,9 @@
 //! organisation without searching the sections.
 
 use std::collections;
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync;
 use std::sync::atomic;
 
@@ -43,9 +46,9 @@
     route: sync::Arc<route::Route>,
     /// Services that requests are split over, with their weights.
     targets: Vec<(sync::Arc<service::Service>, u32)>,
-    /// Number of requests split over the targets so far; index into the low-discrepancy sequence of
+    /// Index of the next request in the low-discrepancy sequence of
     /// [`CompiledRoute::select_weighted`].
-    requests: atomic::AtomicU32,
+    next_index: atomic::AtomicU32,
 }
 
 /// Route, service and organisation of one request.
@@ -62,8 +65,9 @@
 }
 
 impl CompiledPolicy {
-    /// Builds the indexes of `document`, whose version is `version`.
-    pub fn compile(version: ids::PolicyVersion, document: &document::Document) -> Self {
+    /// Builds the indexes of `document`, whose version is `version`. `seed` should differ between
+    /// daemons and versions: it determines which part of a split route gets the first request.
+    pub fn compile(version: ids::PolicyVersion, document: &document::Document, seed: u64) -> Self {
         let mut compiled = CompiledPolicy {
             version,
             limits: document.limits.clone(),
@@ -74,7 +78,7 @@
                 compiled.services.insert(service.name.clone(), sync::Arc::new(service.clone()));
             }
             for route in &section.route {
-                let compiled_route = CompiledRoute::compile(team, route, &compiled.services);
+                let compiled_route = CompiledRoute::compile(team, route, &compiled.services, seed);
                 compiled.routes.entry(route.host.clone()).or_default().push(compiled_route);
             }
             for organisation in &section.organisation {
@@ -175,6 +179,7 @@
         team: &ids::TeamName,
         route: &route::Route,
         services: &collections::HashMap<ids::ServiceName, sync::Arc<service::Service>>,
+        seed: u64,
     ) -> Self {
         let targets = route.targets().filter_map(|(name, weight)| {
             services.get(name).map(|service| (service.clone(), weight))
@@ -183,7 +188,7 @@
             team: team.clone(),
             route: sync::Arc::new(route.clone()),
             targets: targets.collect(),
-            requests: Default::default(),
+            next_index: atomic::AtomicU32::new(first_index(seed, route)),
         }
     }
 
@@ -197,7 +202,7 @@
     /// the split close to the weights in any run of consecutive requests.
     fn select_weighted(&self) -> Option<sync::Arc<service::Service>> {
         let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
-        let index = self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        let index = self.next_index.fetch_add(1, atomic::Ordering::Relaxed);
         let fraction = index.wrapping_mul(GOLDEN_RATIO_U32);
         let mut position = (u64::from(fraction) * total) >> u32::BITS;
         let selected = self.targets.iter().find(|(_, weight)| {
@@ -209,6 +214,14 @@
     }
 }
 
+/// Returns the index at which the sequence of a route starts. If all daemons started at the same one,
+/// their first requests after a start or a new version would all go to the same part.
+fn first_index(seed: u64, route: &route::Route) -> u32 {
+    let mut hasher = hash::DefaultHasher::new();
+    (seed, &route.host, &route.path).hash(&mut hasher);
+    hasher.finish() as u32
+}
+
 /// Fractional part of the golden ratio, scaled by 2^32. Its multiples modulo 2^32 are evenly
 /// distributed (Fibonacci hashing).
 const GOLDEN_RATIO_U32: u32 = 2_654_435_769;
--- a/crates/state/src/policy/tests.rs
+++ b/crates/state/src/policy/tests.rs
@@ -4,6 +4,7 @@
 
 use crate::outcome;
 use crate::policy::compiled;
+use crate::policy::document;
 use crate::policy::edit;
 use crate::policy::organisation;
 use crate::policy::reducer;
@@ -104,7 +105,7 @@
     let other =
         "team = 'u'\n[[service]]\nname = 'z'\n[[route]]\nservice = 'z'\nhost = 'z.example'\n";
     reducer.apply(1, &edit("b", "u", 0, other));
-    compiled::CompiledPolicy::compile(reducer.version, &reducer.document)
+    compiled::CompiledPolicy::compile(reducer.version, &reducer.document, 0)
 }
 
 #[test_case("shop.example", "/", "GET", None, Ok((true, "public")); "public route")]
@@ -152,3 +153,38 @@
     check(6, signed(&own, edit("g", "t", 6, &text(&own))), false);
     check(7, signed(&other, edit("h", "t", 6, &text(&own))), true);
 }
+
+/// Returns the share of part `a` among the requests that a fleet of `daemons` daemons, each with its
+/// own seed, splits in the ratio 7 to 3, if each gets `requests` requests.
+fn share_of_part(daemons: u64, requests: u32) -> f64 {
+    let text = "team = 't'
+[[service]]
+name = 'a'
+[[service]]
+name = 'b'
+[[route]]
+host = 'shop.example'
+split = [{ service = 'a', weight = 7 }, { service = 'b', weight = 3 }]
+";
+    let section = section::Section::parse(text).expect("the section is valid");
+    let document = document::Document::new([section]);
+    let selects_a = |policy: &compiled::CompiledPolicy| {
+        let matching = policy.match_request("shop.example", "/", "GET", None);
+        &*matching.expect("the route matches").service.name == "a"
+    };
+    let selected = (0..daemons).map(|seed| {
+        let policy = compiled::CompiledPolicy::compile(1, &document, seed);
+        (0..requests).filter(|_| selects_a(&policy)).count()
+    });
+    selected.sum::<usize>() as f64 / (daemons * u64::from(requests)) as f64
+}
+
+// Pattern: a new version or a restart of all daemons, each of which gets few requests of a route.
+#[test_case(235, 1; "first request at each of many daemons")]
+#[test_case(235, 2; "two requests at each of many daemons")]
+#[test_case(27, 10; "ten requests at each of a few daemons")]
+#[test_case(1, 300; "many requests at one daemon")]
+fn the_parts_of_a_split_route_get_their_shares(daemons: u64, requests: u32) {
+    let share = share_of_part(daemons, requests);
+    assert!((0.62..=0.78).contains(&share), "{share}");
+}
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -4,6 +4,9 @@
 //! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
 //! an await point. The admission state is private to the sidecar and never locked together with these.
 
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -110,11 +113,16 @@
     pub fn amend_policy(&self, change: impl FnOnce(&mut document::Document)) {
         let mut policy = write(&self.policy);
         change(&mut policy.reducer.document);
-        let compiled =
-            compiled::CompiledPolicy::compile(policy.reducer.version, &policy.reducer.document);
+        let compiled = self.compile(&policy.reducer);
         policy.compiled = sync::Arc::new(compiled);
     }
 
+    fn compile(&self, reducer: &reducer::Reducer) -> compiled::CompiledPolicy {
+        let mut hasher = hash::DefaultHasher::new();
+        (&self.daemon, reducer.version).hash(&mut hasher);
+        compiled::CompiledPolicy::compile(reducer.version, &reducer.document, hasher.finish())
+    }
+
     /// Changes the policy reducer and activates its document if the version increased.
     ///
     /// Discards a change that would lower the version or the next offset.
@@ -130,8 +138,7 @@
         if !is_new {
             return;
         }
-        let compiled =
-            compiled::CompiledPolicy::compile(policy.reducer.version, &policy.reducer.document);
+        let compiled = self.compile(&policy.reducer);
         policy.compiled = sync::Arc::new(compiled);
         let version = policy.reducer.version;
         drop(policy);
