End the share of a rate limit with the report that it answers

Cause: a limiter used a share for 5 s from the arrival of the response. An ingress that was paused between its report and the response, or whose response was delayed, used a share that the allocator had given to others since. A response that arrived after a newer one replaced it.

Change: a share ends 5 s after its report was sent, and a response to an older report is ignored.

--- a/crates/coordination/src/rate_limit_reporter.rs
+++ b/crates/coordination/src/rate_limit_reporter.rs
@@ -59,11 +59,12 @@
     }
 
     async fn report(&self, allocator: Option<net::SocketAddr>, demands: Vec<rate_limit::Demand>) {
+        let reported = self.shared.now();
         let shares = match allocator {
             Some(address) => self.client.report(address, demands).await.unwrap_or_default(),
             None => self.allocate(&demands),
         };
-        self.shared.limiter().apply_shares(&shares, self.shared.now());
+        self.shared.limiter().apply_shares(&shares, reported, self.shared.now());
     }
 
     /// Allocates shares for demands whose allocator is this daemon.
--- a/crates/state/src/rate_limit.rs
+++ b/crates/state/src/rate_limit.rs
@@ -130,11 +130,17 @@
         chosen.map(demand).collect()
     }
 
-    /// Applies the shares in an allocator's response.
-    pub fn apply_shares(&mut self, shares: &[Share], now: time::Instant) {
+    /// Applies the shares in an allocator's response to a report that was sent at `reported`. They
+    /// expire no later at this limiter than at the allocator, however late the response arrives.
+    pub fn apply_shares(&mut self, shares: &[Share], reported: time::Instant, now: time::Instant) {
+        let until = reported + SHARE_TTL;
+        if until <= now {
+            return;
+        }
         for share in shares {
-            if let Some(usage) = self.organisations.get_mut(&share.organisation) {
-                usage.share_until = Some(now + SHARE_TTL);
+            let Some(usage) = self.organisations.get_mut(&share.organisation) else { continue };
+            if usage.share_until.is_none_or(|newest| newest <= until) {
+                usage.share_until = Some(until);
                 usage.set_rate(share.rate, now);
             }
         }
--- a/crates/state/src/rate_limit/tests.rs
+++ b/crates/state/src/rate_limit/tests.rs
@@ -25,7 +25,7 @@
                 for demand in limiter.take_report(REPORT_INTERVAL, now) {
                     let daemon = format!("d{index}").as_str().into();
                     let share = allocator.allocate(&daemon, &demand, limit, now);
-                    limiter.apply_shares(&[share], now);
+                    limiter.apply_shares(&[share], now, now);
                 }
             }
         }
@@ -68,3 +68,30 @@
     let moved = moved.count();
     assert!((50..150).contains(&moved), "{moved} of 1000 moved when one of ten left");
 }
+
+/// Returns how many of 1,000 requests at once a limiter admits after two allocator responses, given
+/// as the times in seconds at which the report was sent and the response arrived, and the rate.
+fn check_late(responses: [(f64, f64, f64); 2]) -> usize {
+    let start = time::Instant::now();
+    let at = |seconds| start + time::Duration::from_secs_f64(seconds);
+    let mut limiter = LocalLimiter::default();
+    let organisation: ids::OrganisationName = "mailers".into();
+    limiter.admit(&organisation, 400.0, 4, start);
+    let mut now = start;
+    for (reported, arrived, rate) in responses {
+        now = at(arrived);
+        let share = Share { organisation: organisation.clone(), rate };
+        limiter.apply_shares(&[share], at(reported), now);
+    }
+    let later = now + time::Duration::from_secs(1);
+    (0..1000).filter(|_| limiter.admit(&organisation, 400.0, 4, later)).count()
+}
+
+// Guards against a limiter that was paused and uses a share that has been given to others since.
+#[test_case((0.0, 10.0, 400.0), (0.0, 10.0, 400.0), 25; "response read after a pause")]
+#[test_case((0.0, 4.5, 400.0), (0.0, 4.5, 400.0), 25; "share expires before it is used")]
+#[test_case((1.0, 1.1, 40.0), (0.5, 1.2, 400.0), 10; "older response read last")]
+#[test_case((0.0, 0.1, 400.0), (0.5, 0.6, 40.0), 10; "responses in order")]
+fn shares_expire_with_the_report(first: (f64, f64, f64), second: (f64, f64, f64), admitted: usize) {
+    assert_eq!(check_late([first, second]), admitted);
+}
