Do not take a pause of the own process for the silence of others

Cause: after a pause of more than 10 s a daemon found that no peer had sent a heartbeat, took all upstreams of other daemons out of use, and after 120 s forgot the fleet, until heartbeats arrived.

Change: ticks notice the pause, and its length does not count as silence. Messages that waited and the router are processed after the check.

--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -40,6 +40,7 @@
             .is_some()
         {
             ticks = ticks.wrapping_add(1);
+            gossip.shared.membership().tick(gossip.shared.now());
             if ticks.is_multiple_of(membership::TICKS_PER_HEARTBEAT) {
                 gossip.heartbeat();
             }
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -37,6 +37,8 @@
     startup_ticks: u32,
     /// Number of ticks since the last daemon was learned of.
     quiet_ticks: u32,
+    /// Time of the last tick.
+    ticked: Option<time::Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -64,6 +66,8 @@
 const LIVENESS_TIMEOUT_PER_PEER: time::Duration = time::Duration::from_millis(60);
 /// Interval at which a daemon decides whether to gossip.
 pub const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Shortest time without a tick that counts as a pause of this process.
+const PAUSE_MIN: time::Duration = time::Duration::from_secs(1);
 /// Ticks between heartbeats.
 pub const TICKS_PER_HEARTBEAT: u32 = 20;
 /// Number of ticks after a new policy version or source epoch with an urgent round.
@@ -86,6 +90,7 @@
             urgent_ticks: 0,
             startup_ticks: round::STARTUP_TICKS,
             quiet_ticks: 0,
+            ticked: None,
         };
         membership.mark_pending(own_name);
         membership
@@ -210,9 +215,30 @@
         counts
     }
 
+    /// Notes that this daemon's process runs. To be called every [`TICK_INTERVAL`].
+    pub fn tick(&mut self, now: time::Instant) {
+        self.skip_pause(now);
+        self.ticked = Some(now);
+    }
+
+    /// Excludes a pause of this process from the silence of its peers, whose heartbeats it could not
+    /// read meanwhile.
+    pub(crate) fn skip_pause(&mut self, now: time::Instant) {
+        let Some(ticked) = self.ticked else { return };
+        let pause = now.saturating_duration_since(ticked);
+        if pause < PAUSE_MIN {
+            return;
+        }
+        self.ticked = Some(now);
+        for peer in self.peers.values_mut() {
+            peer.last_seen += pause;
+        }
+    }
+
     /// Updates which peers are live, removes those without a heartbeat for [`REMOVAL_TIMEOUT`], and
     /// returns the removals.
     pub fn expire(&mut self, now: time::Instant) -> Vec<Change> {
+        self.skip_pause(now);
         let mut changes = Vec::new();
         let mut liveness_changes = 0;
         let liveness_timeout = self.liveness_timeout();
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -91,6 +91,7 @@
         message: &membership::GossipMessage,
         now: time::Instant,
     ) -> (membership::GossipMessage, Vec<membership::Change>) {
+        self.skip_pause(now);
         let mut changes = Vec::new();
         self.is_synced |= message.is_full;
         for record in &message.records {
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -119,6 +119,43 @@
     assert_eq!(gone, [Change::DaemonGone("d2".into())]);
 }
 
+/// Time for which a test pauses a daemon: longer than any timeout.
+const PAUSE: time::Duration = time::Duration::from_secs(130);
+
+// Guards against a daemon that takes its own pause for the silence of the others.
+#[test]
+fn a_paused_daemon_keeps_the_daemons_that_it_knew() {
+    let start = time::Instant::now();
+    let mut fleet: Vec<Membership> = (0..3).map(membership).collect();
+    fleet[1].update_own_record(|own| own.upstreams = vec![upstream(false)]);
+    gossip(&mut fleet, 3, start);
+    fleet[0].tick(start);
+    let resumed = start + PAUSE;
+    fleet[0].tick(resumed);
+    assert_eq!(fleet[0].expire(resumed), []);
+    assert_eq!(fleet[0].candidates(resumed).len(), 1);
+    // The pause does not extend the time that a daemon may be silent while this one runs.
+    let mut now = resumed;
+    while now < resumed + fleet[0].liveness_timeout() {
+        fleet[0].tick(now);
+        now += TICK_INTERVAL;
+    }
+    assert_eq!(fleet[0].candidates(now).len(), 0);
+}
+
+// Guards against applying messages that waited during the pause before the pause is noticed.
+#[test]
+fn a_paused_daemon_keeps_the_daemons_missing_in_the_first_message() {
+    let start = time::Instant::now();
+    let mut fleet: Vec<Membership> = (0..3).map(membership).collect();
+    gossip(&mut fleet, 3, start);
+    fleet[0].tick(start);
+    let resumed = start + PAUSE;
+    let digests = vec![fleet[1].own_record().digest()];
+    fleet[0].apply(&GossipMessage { digests, ..Default::default() }, resumed);
+    assert_eq!(fleet[0].live_records(resumed).count(), 3);
+}
+
 #[test]
 fn a_restarted_daemon_overrides_its_old_records() {
     let now = time::Instant::now();
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -202,7 +202,8 @@
     /// call.
     pub fn sync_router(&self) {
         let now = self.now();
-        let membership = self.membership();
+        let mut membership = self.membership();
+        membership.skip_pause(now);
         let generation = membership.generation();
         if self.router_generation.swap(generation, atomic::Ordering::AcqRel) == generation {
             return;
