Keep the running requests of a sidecar that is silent for some seconds

Cause: the ingress closed a connection to a sidecar whose ping response was 1 s late. A daemon that was paused for 2 s lost all requests that ran at its upstreams, also those that must not run twice and could only wait.

Change: after 2 s without a byte, a connection gets no further requests, and requests that may be retried are given up, as before. Others wait until their deadline, or until the kernel finds the VM unreachable.

--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -119,8 +119,26 @@
     ///
     /// Panics if the ports of the daemon cannot be opened.
     pub async fn add_killable_daemon(&mut self, domain: &str) -> tokio::runtime::Runtime {
+        self.add_daemon_with_threads(domain, 2).await
+    }
+
+    /// Starts another daemon on a separate runtime with one thread; blocking the thread pauses the
+    /// daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the ports of the daemon cannot be opened.
+    pub async fn add_pausable_daemon(&mut self, domain: &str) -> tokio::runtime::Runtime {
+        self.add_daemon_with_threads(domain, 1).await
+    }
+
+    async fn add_daemon_with_threads(
+        &mut self,
+        domain: &str,
+        threads: usize,
+    ) -> tokio::runtime::Runtime {
         let mut builder = tokio::runtime::Builder::new_multi_thread();
-        let runtime = builder.worker_threads(2).enable_all().build().expect("worker threads");
+        let runtime = builder.worker_threads(threads).enable_all().build().expect("threads");
         let settings = self.settings(domain, |_| ());
         let starting = runtime.spawn(start_daemon(settings, self.log.address));
         self.daemons.push(starting.await.expect("the daemon starts"));
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -137,6 +137,8 @@
     is_retry: bool,
     /// Risk tolerance, which limits the failure probability of the upstream.
     risk: outlier::RiskTolerance,
+    /// Whether another attempt may follow if this one is lost.
+    may_retry: bool,
 }
 
 /// Timeout assumed for requests that state none while there is no policy.
@@ -395,7 +397,8 @@
         progress: &mut progress::Progress,
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let risk = context.risk_tolerance(progress, self.may_probe(context));
-        let options = AttemptOptions { is_retry: progress.attempts > 0, risk };
+        let may_retry = context.has_attempt_after_next(progress) && context.body.is_replayable();
+        let options = AttemptOptions { is_retry: progress.attempts > 0, risk, may_retry };
         let mut primary = std::pin::pin!(self.try_upstream(context, first, options));
         let Some(hedge_delay) = self.hedge_delay(context) else { return primary.await };
         if let Ok(result) = tokio::time::timeout(hedge_delay, &mut primary).await {
@@ -403,7 +406,7 @@
         }
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge_options = AttemptOptions { is_retry: true, risk };
+        let hedge_options = AttemptOptions { is_retry: true, risk, may_retry };
         let hedge = std::pin::pin!(self.try_upstream(context, second, hedge_options));
         match futures::future::select(primary, hedge).await {
             futures::future::Either::Left((Ok(response), _)) => Ok(response),
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -55,7 +55,7 @@
         let response = if outstanding.candidate.daemon == self.own_daemon {
             self.send_to_local_sidecar(context, &envelope, &mut outstanding).await
         } else {
-            self.send_to_peer(context, &envelope, &mut outstanding).await
+            self.send_to_peer(context, &envelope, options, &mut outstanding).await
         };
         if let Some(fingerprint) = context.fingerprint().filter(|_| response.is_ok()) {
             self.shared.quarantine().record_survival(fingerprint, self.shared.now());
@@ -92,6 +92,7 @@
         &self,
         context: &ingress::RequestContext,
         envelope: &envelope::Envelope,
+        options: ingress::AttemptOptions,
         outstanding: &mut ingress::OutstandingRequest<C>,
     ) -> Result<http::Response<UntrackedBody<C>>, retry::AttemptEnd> {
         let mut request = build_request(context);
@@ -100,7 +101,7 @@
             request.headers_mut().insert(names::FLEET_SECRET, secret);
         }
         let sidecar = outstanding.candidate.sidecar;
-        let sending = self.peers.send(sidecar, request);
+        let sending = self.peers.send(sidecar, request, options.may_retry);
         let timeout = envelope.time_left + REPORT_GRACE;
         let sent = tokio::time::timeout(timeout, sending).await;
         let mut response = match sent {
--- a/crates/transport/src/peers.rs
+++ b/crates/transport/src/peers.rs
@@ -1,6 +1,7 @@
 //! HTTP/2 connections from this daemon's ingress to the sidecars of other daemons.
 
 use std::net;
+use std::pin;
 use std::sync;
 use std::time;
 
@@ -10,10 +11,13 @@
 use indexmap::IndexMap;
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
+use tokio_util::io;
 
 use crate::replay;
 use crate::socket;
 
+mod last_read;
+
 /// Connections to sidecars, one for each, opened on first use.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -28,19 +32,24 @@
 
 #[derive(Debug, Default)]
 struct Connection {
-    sender: Option<Sender>,
+    current: Option<Link>,
     /// Time of the last failure to open a connection.
     last_failure: Option<time::Instant>,
 }
 
-type Sender = http2::SendRequest<replay::AttemptBody>;
+/// An open connection.
+#[derive(Debug, Clone)]
+struct Link {
+    sender: http2::SendRequest<replay::AttemptBody>,
+    last_read: sync::Arc<last_read::LastRead>,
+}
 
 /// Why sending a request to a sidecar failed.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PeerError {
     /// No connection could be opened.
     Unreachable,
-    /// The connection was lost after the request was sent on it.
+    /// The connection was lost, or silent for too long, after the request was sent on it.
     Lost(retry::AttemptEnd),
 }
 
@@ -54,8 +63,11 @@
 pub const FRAME_SIZE_MAX: u32 = 16 * 1024;
 /// Largest header list in bytes.
 pub const HEADER_LIST_SIZE_MAX: u32 = 64 * 1024;
-/// Time between pings while requests are outstanding, and the longest wait for a ping response.
+/// Time between pings while requests are outstanding.
 pub const PING_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Longest wait for a ping response. A daemon that is paused for less keeps its running requests;
+/// the kernel closes connections to a VM that is gone much earlier.
+const PING_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Longest wait for a connection to a sidecar: many round trips between failure domains, but well
 /// below the latency objective of any route, as the request may still be sent elsewhere.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -63,6 +75,9 @@
 impl Peers {
     /// Sends a request to a sidecar and returns the head of its response.
     ///
+    /// A request that `may_retry` is given up when the connection is silent. Others wait on, as the
+    /// sidecar may only be paused; requests sent later use a new connection.
+    ///
     /// # Errors
     ///
     /// Returns `Unreachable` if the request was not sent, and `Lost` if the connection was lost
@@ -71,24 +86,34 @@
         &self,
         sidecar: net::SocketAddr,
         request: http::Request<replay::AttemptBody>,
+        may_retry: bool,
     ) -> Result<http::Response<body::Incoming>, PeerError> {
         let peer = self.peer(sidecar);
         let mut request = request;
+        let lost = PeerError::Lost(retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost));
         // The existing connection may have closed since its last request; the second iteration then
         // opens a new one.
         for _ in 0..2 {
-            let mut sender = peer.sender().await?;
-            if sender.ready().await.is_err() {
+            let mut link = peer.link().await?;
+            if link.sender.ready().await.is_err() {
                 continue;
             }
-            match sender.try_send_request(request).await {
+            let mut sending = pin::pin!(link.sender.try_send_request(request));
+            let result = tokio::select! {
+                result = &mut sending => result,
+                () = link.last_read.silence() => {
+                    peer.retire(&link.last_read).await;
+                    if may_retry {
+                        return Err(lost);
+                    }
+                    sending.await
+                }
+            };
+            match result {
                 Ok(response) => return Ok(response),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
-                    None => {
-                        let failure = outcome::Failure::ConnectionLost;
-                        return Err(PeerError::Lost(retry::AttemptEnd::MayHaveRun(failure)));
-                    }
+                    None => return Err(lost),
                 },
             }
         }
@@ -111,32 +136,44 @@
 }
 
 impl Peer {
-    /// Returns a sender for a live connection, opening one if needed.
-    async fn sender(&self) -> Result<Sender, PeerError> {
+    /// Returns a live connection, opening one if needed.
+    async fn link(&self) -> Result<Link, PeerError> {
         let requested = time::Instant::now();
-        let mut current = self.connection.lock().await;
-        if let Some(sender) = current.sender.as_ref().filter(|sender| !sender.is_closed()) {
-            return Ok(sender.clone());
+        let mut connection = self.connection.lock().await;
+        if let Some(link) = connection.current.as_ref().filter(|link| !link.sender.is_closed()) {
+            return Ok(link.clone());
         }
-        if current.sender.take().is_some() {
+        if connection.current.take().is_some() {
             metrics::counter!("lynxmast_gate_connections_replaced_total").increment(1);
         }
         // An attempt to connect that failed while this request waited for the lock is not retried,
         // so that waiting requests do not time out one after the other.
-        if current.last_failure.is_some_and(|failed| failed >= requested) {
+        if connection.last_failure.is_some_and(|failed| failed >= requested) {
             return Err(PeerError::Unreachable);
         }
-        let Some(sender) = connect(self.address).await else {
-            current.last_failure = Some(time::Instant::now());
+        let Some(link) = connect(self.address).await else {
+            connection.last_failure = Some(time::Instant::now());
             return Err(PeerError::Unreachable);
         };
-        current.sender = Some(sender.clone());
-        Ok(sender)
+        connection.current = Some(link.clone());
+        Ok(link)
+    }
+
+    /// Sends no further requests on the connection that `last_read` belongs to. It closes when its
+    /// last request ends.
+    async fn retire(&self, last_read: &sync::Arc<last_read::LastRead>) {
+        let mut connection = self.connection.lock().await;
+        if connection.current.take_if(|l| sync::Arc::ptr_eq(&l.last_read, last_read)).is_some() {
+            metrics::counter!("lynxmast_gate_connections_replaced_total").increment(1);
+        }
     }
 }
 
-async fn connect(address: net::SocketAddr) -> Option<Sender> {
+async fn connect(address: net::SocketAddr) -> Option<Link> {
     let stream = socket::connect(address, CONNECT_TIMEOUT).await.ok()?;
+    let last_read = sync::Arc::new(last_read::LastRead::new());
+    let recorder = last_read.clone();
+    let stream = io::InspectReader::new(stream, move |_: &[u8]| recorder.record());
     let mut builder = http2::Builder::new(rt::TokioExecutor::new());
     builder
         .timer(rt::TokioTimer::new())
@@ -146,14 +183,14 @@
         .max_send_buf_size(STREAM_WINDOW as usize)
         .max_header_list_size(HEADER_LIST_SIZE_MAX)
         .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_INTERVAL);
+        .keep_alive_timeout(PING_TIMEOUT);
     let handshake = builder.handshake(rt::TokioIo::new(stream));
     let (sender, driver) = tokio::time::timeout(CONNECT_TIMEOUT, handshake).await.ok()?.ok()?;
     tokio::spawn(async move {
         // Errors of the connection are reported by its senders.
         let _ = driver.await;
     });
-    Some(sender)
+    Some(Link { sender, last_read })
 }
 
 #[cfg(test)]
--- a/crates/transport/src/peers/tests.rs
+++ b/crates/transport/src/peers/tests.rs
@@ -22,7 +22,7 @@
     let (address, _socket, _backlog) = unresponsive_address();
     let peer = Peer { address, connection: Default::default() };
     let started = time::Instant::now();
-    let requests = (0..10).map(|_| peer.sender());
+    let requests = (0..10).map(|_| peer.link());
     let results = futures::future::join_all(requests).await;
     assert!(results.iter().all(|result| matches!(result, Err(PeerError::Unreachable))));
     assert!(started.elapsed() < 3 * CONNECT_TIMEOUT, "{:?}", started.elapsed());
