Wait for the hedge when the first attempt gets an error

Cause: when one of an attempt and its hedge got a response, the other was ended, also if the response was an error. The work at the second upstream was given up and a retry started it again at a third. A hedge ended this way was not counted as an attempt, so a route of two attempts ran a request on three backend servers.

Change: ingress::hedge waits for the first success; while there is only an error, the other attempt goes on. Its end is always counted.

--- a/crates/state/src/progress.rs
+++ b/crates/state/src/progress.rs
@@ -111,10 +111,10 @@
         }
     }
 
-    /// Counts a hedge as an attempt if it reached a backend server.
-    pub fn record_hedge<T>(&mut self, result: &Result<T, retry::AttemptEnd>) {
-        let is_attempt = result.as_ref().err().is_none_or(|end| end.reached_upstream());
-        self.attempts += u32::from(is_attempt);
+    /// Counts a hedge as an attempt if it reached a backend server. `end` is `None` if it has a
+    /// response or has not ended.
+    pub fn record_hedge(&mut self, end: Option<retry::AttemptEnd>) {
+        self.attempts += u32::from(end.is_none_or(retry::AttemptEnd::reached_upstream));
     }
 
     /// Returns whether the last sidecar could not be used, rather than being overloaded or
--- a/crates/state/src/progress/tests.rs
+++ b/crates/state/src/progress/tests.rs
@@ -95,15 +95,12 @@
     assert_eq!((progress.may_have_run, progress.attempts), (Some(lost), 1));
 }
 
-#[test_case(Err(retry::AttemptEnd::NotRun(Rejection::OverBudget)), 0; "denied")]
-#[test_case(Err(retry::AttemptEnd::NotRun(Rejection::Shed)), 1; "shed by the backend server")]
-#[test_case(Err(retry::AttemptEnd::MayHaveRun(Failure::Deadline)), 1; "without a response")]
-#[test_case(Ok(()), 1; "with a response")]
-fn a_hedge_counts_if_it_reached_a_backend_server(
-    result: Result<(), retry::AttemptEnd>,
-    attempts: u32,
-) {
+#[test_case(Some(retry::AttemptEnd::NotRun(Rejection::OverBudget)), 0; "denied")]
+#[test_case(Some(retry::AttemptEnd::NotRun(Rejection::Shed)), 1; "shed by the backend server")]
+#[test_case(Some(retry::AttemptEnd::MayHaveRun(Failure::Deadline)), 1; "without a response")]
+#[test_case(None, 1; "with a response")]
+fn a_hedge_counts_if_it_reached_a_backend_server(end: Option<retry::AttemptEnd>, attempts: u32) {
     let mut progress = Progress::default();
-    progress.record_hedge(&result);
+    progress.record_hedge(end);
     assert_eq!(progress.attempts, attempts);
 }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod head;
+mod hedge;
 mod outstanding;
 mod quarantine;
 mod retries;
@@ -407,22 +408,11 @@
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
         let hedge_options = AttemptOptions { is_retry: true, risk, may_retry };
-        let hedge = std::pin::pin!(self.try_upstream(context, second, hedge_options));
-        match futures::future::select(primary, hedge).await {
-            futures::future::Either::Left((Ok(response), _)) => Ok(response),
-            futures::future::Either::Left((Err(end), hedge)) => {
-                let result = hedge.await;
-                progress.record_hedge(&result);
-                combine_results(end, result)
-            }
-            futures::future::Either::Right((result, primary)) => {
-                progress.record_hedge(&result);
-                match result {
-                    Ok(response) => Ok(response),
-                    Err(end) => combine_results(end, primary.await),
-                }
-            }
-        }
+        let hedge = self.try_upstream(context, second, hedge_options);
+        let is_success = |response: &http::Response<_>| !response.status().is_server_error();
+        let outcome = hedge::first_success(primary, hedge, is_success).await;
+        progress.record_hedge(outcome.hedge_end);
+        outcome.result
     }
 
     /// Selects an untried upstream. After a lost connection, an upstream that was tried may be
@@ -461,19 +451,6 @@
     }
 }
 
-/// Combines the `end` of an attempt that got no response with the result of the `other` attempt.
-/// Returns the response if there is one; if both failed, an end that may have run the request takes
-/// precedence over a rejection.
-fn combine_results<T>(
-    end: retry::AttemptEnd,
-    other: Result<T, retry::AttemptEnd>,
-) -> Result<T, retry::AttemptEnd> {
-    other.map_err(|second| match second {
-        retry::AttemptEnd::MayHaveRun(_) => second,
-        retry::AttemptEnd::NotRun(_) => end,
-    })
-}
-
 /// Returns the `Content-Length` of a request; `None` if it is missing or malformed.
 fn content_length(headers: &http::HeaderMap) -> Option<u64> {
     headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
