Keep departed backend servers known across a restart of their daemon

Cause: departures were known to the process that got them. A heartbeat of a backend server that had left, delayed by seconds and arriving after a restart of its daemon, registered it again; it got requests until its lease ended.

Change: a daemon's membership record names the last departures on its VM. A peer that gets the record of a new process returns the earlier one, if that has departures; the daemon takes them over, and drains what it has registered meanwhile.

Not covered: a departure while the daemon is down, and a restart without any peer.

--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -38,6 +38,18 @@
         /// Newest epoch of the policy source known to the daemon.
         #[serde(default)]
         pub source_epoch: ids::SourceEpoch,
+        /// Backend servers on the daemon's VM that left last. The daemon's next process learns them
+        /// from its peers.
+        #[serde(default)]
+        pub departed: Vec<Departure>,
+    }
+
+    /// Departure of a backend server.
+    pub struct Departure {
+        /// Name of the backend server.
+        pub instance: ids::InstanceName,
+        /// Newest incarnation that has left.
+        pub incarnation: ids::Incarnation,
     }
 
     /// Upstream in the record of its daemon.
@@ -116,6 +128,7 @@
             follows_source: false,
             upstreams: Vec::new(),
             source_epoch: 0,
+            departed: Vec::new(),
         }
     }
 
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -72,6 +72,8 @@
 pub const TICKS_PER_HEARTBEAT: u32 = 20;
 /// Number of ticks after a new policy version or source epoch with an urgent round.
 const NEWS_URGENT_TICKS: u32 = 4;
+/// Maximum number of departed backend servers in a daemon's record; a VM runs few.
+const DEPARTED_MAX: usize = 16;
 /// Time without a heartbeat after which a daemon's record is removed. The record of a daemon that
 /// announced its shutdown is kept for the same time.
 pub const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(120);
@@ -170,6 +172,28 @@
         self.mark_pending(self.own_record.daemon.clone());
     }
 
+    /// Records that a backend server on this daemon's VM has left, in this incarnation and all earlier
+    /// ones.
+    pub fn record_departure(&mut self, departure: member::Departure) {
+        if self.has_departed(&departure.instance, departure.incarnation) {
+            return;
+        }
+        self.update_own_record(|own| {
+            own.departed.retain(|known| known.instance != departure.instance);
+            if own.departed.len() >= DEPARTED_MAX {
+                own.departed.remove(0);
+            }
+            own.departed.push(departure);
+        });
+    }
+
+    /// Returns whether a backend server on this daemon's VM has left, as far as this process or an
+    /// earlier one of the daemon has recorded it.
+    pub fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
+        let mut departed = self.own_record.departed.iter();
+        departed.any(|known| &*known.instance == instance && incarnation <= known.incarnation)
+    }
+
     /// Marks the membership as synchronised and drops all pending updates, as if they had been
     /// sent.
     pub fn mark_synced(&mut self) {
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -65,7 +65,7 @@
         }
         reply.digests.push(self.own_record.digest());
         if message.requests_all {
-            reply.records = self.all_records().cloned().collect();
+            reply.records.extend(self.all_records().cloned());
             reply.is_full = true;
             return (reply, changes);
         }
@@ -94,14 +94,15 @@
         self.skip_pause(now);
         let mut changes = Vec::new();
         self.is_synced |= message.is_full;
+        let mut superseded = Vec::new();
         for record in &message.records {
-            self.merge(record, now, &mut changes);
+            superseded.extend(self.merge(record, now, &mut changes));
         }
         if message.is_full {
             // The rest of the fleet already has these records; only this daemon's is new to it.
             self.pending.retain(|name, _| *name == self.own_record.daemon);
         }
-        let mut reply = membership::GossipMessage::default();
+        let mut reply = membership::GossipMessage { records: superseded, ..Default::default() };
         for digest in &message.digests {
             match self.compare(digest, now) {
                 Outdated::Receiver if reply.requested.len() < RECORDS_MAX => {
@@ -126,21 +127,23 @@
         self.pending.insert(name, SENDS_MIN + doublings);
     }
 
+    /// Takes over a newer record. Returns the record of an earlier process of the daemon if that one
+    /// has recorded departures, which the daemon may not know any more.
     fn merge(
         &mut self,
         record: &member::Record,
         now: time::Instant,
         changes: &mut Vec<membership::Change>,
-    ) {
+    ) -> Option<member::Record> {
         if record.daemon == self.own_record.daemon {
             self.refute(record);
-            return;
+            return None;
         }
         let known = self.peers.get_mut(&record.daemon);
         let is_known = known.is_some();
         if let Some(peer) = known.filter(|peer| !record.is_newer_than(&peer.record.digest())) {
             peer.record_heartbeat(&record.digest(), now);
-            return;
+            return None;
         }
         if !is_known {
             self.quiet_ticks = 0;
@@ -148,13 +151,15 @@
         let old = self.peers.get(&record.daemon).map(|peer| &peer.record);
         change::collect(old, record, changes);
         let peer = membership::Peer { record: record.clone(), last_seen: now, was_live: true };
-        self.peers.insert(record.daemon.clone(), peer);
+        let replaced = self.peers.insert(record.daemon.clone(), peer);
         self.generation += 1;
         self.mark_pending(record.daemon.clone());
+        let replaced = replaced.map(|peer| peer.record);
+        replaced.filter(|old| old.incarnation < record.incarnation && !old.departed.is_empty())
     }
 
-    /// Gives this daemon's record a higher version than `record`, which an earlier instance of the
-    /// daemon published and which still circulates.
+    /// Gives this daemon's record a higher version than `record`, which an earlier process of the
+    /// daemon published and which still circulates, and takes over the departures in it.
     fn refute(&mut self, record: &member::Record) {
         if record.incarnation == self.own_record.incarnation
             && record.version > self.own_record.version
@@ -165,6 +170,9 @@
             self.own_record.incarnation = record.incarnation + 1;
             self.update_own_record(|_| ());
         }
+        for departure in &record.departed {
+            self.record_departure(departure.clone());
+        }
     }
 
     fn compare(&mut self, digest: &member::Digest, now: time::Instant) -> Outdated {
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -54,12 +54,24 @@
 
     fn check_departed(&self, announcement: &announce::Announcement) -> Result<(), String> {
         let Some(instance) = &announcement.instance else { return Ok(()) };
-        if self.departed().contains(instance, announcement.incarnation) {
+        if self.has_departed(instance, announcement.incarnation) {
             return Err(format!("'{instance}' has announced its departure"));
         }
         Ok(())
     }
 
+    fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
+        self.departed().contains(instance, incarnation)
+            || self.shared.membership().has_departed(instance, incarnation)
+    }
+
+    /// Records a departure for this process, and in the membership for the next one.
+    fn record_departure(&self, instance: &ids::InstanceName, incarnation: ids::Incarnation) {
+        self.departed().record(instance, incarnation);
+        let departure = member::Departure { instance: instance.clone(), incarnation };
+        self.shared.membership().record_departure(departure);
+    }
+
     fn departed(&self) -> sync::MutexGuard<'_, departed::Departed> {
         self.departed.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
@@ -122,7 +134,7 @@
     /// Returns an error if another incarnation is serving at the address.
     pub fn depart(&self, departure: &announce::Departure) -> Result<announce::DrainStatus, String> {
         if let Some(instance) = &departure.instance {
-            self.departed().record(instance, departure.incarnation);
+            self.record_departure(instance, departure.incarnation);
         }
         let id = ids::UpstreamId { service: departure.service.clone(), address: departure.address };
         let Some(upstream) = self.find_upstream(&id) else {
@@ -153,7 +165,7 @@
         };
         let existing: Vec<_> = self.upstreams().into_iter().filter(is_named).collect();
         let newest = existing.iter().map(|upstream| upstream.lease().incarnation).max();
-        self.departed().record(instance, newest.unwrap_or(now_ms));
+        self.record_departure(instance, newest.unwrap_or(now_ms));
         let mut is_changed = false;
         for upstream in existing.iter().filter(|upstream| !upstream.is_draining()) {
             upstream.drain();
@@ -180,7 +192,14 @@
                 obsolete.push(upstream);
                 continue;
             };
-            let limits = admission_limits(service, upstream.lease().slots);
+            let lease = upstream.lease();
+            // The departure was recorded by an earlier process, and learned after the announcement.
+            let departed = |name: &ids::InstanceName| self.has_departed(name, lease.incarnation);
+            if !upstream.is_draining() && lease.instance.as_ref().is_some_and(departed) {
+                upstream.drain();
+                is_changed = true;
+            }
+            let limits = admission_limits(service, lease.slots);
             is_changed |= limits.slots != upstream.limits().slots;
             upstream.set_limits(limits);
             upstream.pool.set_limit(service.connections);
