Log when a response clears a request of crashes

The logs of the incident cannot tell whether a request under which upstreams crashed was cleared, nor by which response. The ingress now writes request-cleared with the fingerprint and the status. No decision changes; cargo check of the workspace with all targets passes.

--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -71,6 +71,13 @@
             /// Fingerprint of the request.
             fingerprint: fingerprint::Fingerprint,
         },
+        /// Responses have shown that a suspected request did not cause the crashes known so far.
+        RequestCleared {
+            /// Fingerprint of the request.
+            fingerprint: fingerprint::Fingerprint,
+            /// Status of the response that cleared it.
+            status: u16,
+        },
         /// This ingress backs off from an upstream that it cannot use.
         UpstreamAvoided {
             /// The upstream.
@@ -129,6 +136,7 @@
             Kind::UpstreamDraining { .. } => "upstream-draining",
             Kind::UpstreamGone { .. } => "upstream-gone",
             Kind::RequestQuarantined { .. } => "request-quarantined",
+            Kind::RequestCleared { .. } => "request-cleared",
             Kind::UpstreamAvoided { .. } => "upstream-avoided",
             Kind::ConnectionReplaced { .. } => "connection-replaced",
             Kind::Resumed { .. } => "resumed",
@@ -171,6 +179,12 @@
             Kind::RequestQuarantined { fingerprint } => {
                 write!(f, "request {fingerprint} crashes upstreams and is rejected")
             }
+            Kind::RequestCleared { fingerprint, status } => {
+                write!(
+                    f,
+                    "request {fingerprint} is cleared of crashes by a response, status {status}"
+                )
+            }
             Kind::UpstreamAvoided { upstream } => write!(f, "upstream {upstream} is avoided"),
             Kind::ConnectionReplaced { peer } => {
                 write!(f, "unresponsive connection to {peer} replaced")
--- a/crates/state/src/quarantine.rs
+++ b/crates/state/src/quarantine.rs
@@ -143,13 +143,17 @@
         self.merge_suspect(&Suspect { fingerprint: request, crashes: vec![crash] }, now)
     }
 
-    /// Records that a request got a response.
-    pub fn record_survival(&mut self, request: fingerprint::Fingerprint, now: time::Instant) {
+    /// Records that a request got a response. Returns whether this clears it of crashes.
+    pub fn record_survival(
+        &mut self,
+        request: fingerprint::Fingerprint,
+        now: time::Instant,
+    ) -> bool {
         if self.survivors.len() == SURVIVORS_MAX {
             self.survivors.pop_front();
         }
         self.survivors.push_back((request, now));
-        self.clear(&request);
+        self.clear(&request)
     }
 
     /// Merges the suspicions of another daemon. Returns the requests that this quarantines.
@@ -242,14 +246,16 @@
         record.is_repeated() && !was_repeated
     }
 
-    fn clear(&mut self, request: &fingerprint::Fingerprint) {
-        let Some(record) = self.suspects.get_mut(request) else { return };
+    /// Clears a request of all crashes known so far. Returns whether there were any.
+    fn clear(&mut self, request: &fingerprint::Fingerprint) -> bool {
+        let Some(record) = self.suspects.get_mut(request) else { return false };
         if !record.is_suspected() {
-            return;
+            return false;
         }
         record.crashes.values_mut().for_each(|crash| crash.is_cleared = true);
         record.sends_left = SENDS;
         self.digest = None;
+        true
     }
 
     fn survived_recently(
--- a/crates/state/src/quarantine/tests.rs
+++ b/crates/state/src/quarantine/tests.rs
@@ -33,7 +33,9 @@
             Event::Crash(host, incarnation) => {
                 quarantine.record_crash(REQUEST, address(*host), *incarnation, now);
             }
-            Event::Survival => quarantine.record_survival(REQUEST, now),
+            Event::Survival => {
+                quarantine.record_survival(REQUEST, now);
+            }
         }
     }
     quarantine.admit(&REQUEST, start + Duration::from_millis(at_ms))
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -57,13 +57,11 @@
         } else {
             self.send_to_peer(context, &envelope, options, &mut outstanding).await
         };
-        if let Some(fingerprint) = context.fingerprint().filter(|_| response.is_ok()) {
-            self.shared.quarantine().record_survival(fingerprint, self.shared.now());
-        }
         let response = match response {
             Ok(response) => response,
             Err(end) => return Err(self.attribute_to_caller(context, end)),
         };
+        self.record_survival(context, response.status().as_u16());
         let elapsed = self.shared.now().saturating_duration_since(started);
         let service = &context.route_match.service.name;
         self.shared
--- a/crates/transport/src/ingress/quarantine.rs
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -30,6 +30,16 @@
         is_admitted.then_some(()).ok_or(rejected)
     }
 
+    /// Records that an upstream has responded to the request.
+    pub(super) fn record_survival(&self, context: &ingress::RequestContext, status: u16) {
+        let Some(fingerprint) = context.fingerprint() else { return };
+        let now = self.shared.now();
+        let is_cleared = self.shared.quarantine().record_survival(fingerprint, now);
+        if is_cleared {
+            self.shared.record_event(event::Kind::RequestCleared { fingerprint, status });
+        }
+    }
+
     /// Records that the upstream of an attempt has crashed while it ran the request, if the sidecar
     /// reports that.
     pub(super) async fn record_crash(
