Add failing tests of crashing requests that also get responses

Callers saw backend servers end for as long as copies of a request came.

The stand-in can now crash in a fraction of the runs, counts arrivals of such requests over its restarts, and an error that it injects crashes nothing.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -390,7 +390,8 @@
 
 /// Returns the behaviour of a backend server without faults.
 fn healthy_behaviour() -> backend::Behaviour {
-    let crash_on = Some(crashing_backend::Trigger::Path(CRASHING_PATH));
+    let trigger = crashing_backend::Trigger::Path(CRASHING_PATH);
+    let crash_on = Some(crashing_backend::CrashingRequests::new(trigger, 1.0));
     backend::Behaviour { service_time: SERVICE_TIME, crash_on, ..backend::Behaviour::default() }
 }
 
--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -40,13 +40,13 @@
 }
 
 /// Response behaviour of a backend server, with the faults to inject.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct Behaviour {
     /// Time taken to process a request, before it is multiplied by `slowdown`.
     pub service_time: time::Duration,
     /// Multiplier for `service_time`; a value above 1 simulates a gray failure.
     pub slowdown: f64,
-    /// Fraction of requests that get status 500.
+    /// Fraction of requests that get status 500 and crash nothing.
     pub error_rate: f64,
     /// Fraction of responses that end after half of the body.
     pub truncation_rate: f64,
@@ -61,7 +61,7 @@
     /// Whether responses state that the server is about to leave.
     pub is_leaving: bool,
     /// Requests that crash the server once `service_time` has passed.
-    pub crash_on: Option<crashing_backend::Trigger>,
+    pub crash_on: Option<crashing_backend::CrashingRequests>,
 }
 
 impl Default for Behaviour {
@@ -357,11 +357,14 @@
                 received.extend_from_slice(&data);
             }
         }
+        let crash_rate =
+            behaviour.crash_on.map_or(0.0, |on| on.record_arrival(head.uri.path(), &received));
         let service_time = behaviour.service_time.mul_f64(behaviour.slowdown);
         if !service_time.is_zero() {
             tokio::time::sleep(service_time).await;
         }
-        let crashes = behaviour.crash_on.is_some_and(|on| on.matches(head.uri.path(), &received));
+        let is_error = rand::rng().random_bool(behaviour.error_rate);
+        let crashes = !is_error && rand::rng().random_bool(crash_rate);
         if crashes {
             self.crashed.notify_one();
         }
@@ -373,7 +376,7 @@
         let truncated = rand::rng().random_bool(behaviour.truncation_rate);
         let mut response =
             http::Response::new(TruncatableBody { bytes: Some(bytes), truncated, delay: None });
-        if rand::rng().random_bool(behaviour.error_rate) {
+        if is_error {
             *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
         }
         let id = head.headers.get(header::EXCHANGE_ID).filter(|_| behaviour.echoes_ids);
--- a/crates/testing/src/crashing_backend.rs
+++ b/crates/testing/src/crashing_backend.rs
@@ -14,7 +14,8 @@
 pub struct CrashingBackend {
     /// Address that each start of the server listens on.
     pub address: net::SocketAddr,
-    crashes: sync::Arc<sync::Mutex<Vec<time::Instant>>>,
+    crashes: Times,
+    arrivals: Times,
     restart: sync::Arc<tokio::sync::Notify>,
     supervisor: tasks::AbortHandle,
 }
@@ -24,6 +25,8 @@
 pub struct CrashPlan {
     /// Requests with this path, or with this body, crash the server that runs them.
     pub trigger: Trigger,
+    /// Fraction of the runs of these requests that crash the server; the others get a response.
+    pub rate: f64,
     /// Whether the server stops responding without closing its connections or its port.
     pub is_silent: bool,
     /// Time from a crash to the next start.
@@ -33,6 +36,33 @@
 /// Time until the port of an aborted server is free again.
 const PORT_RELEASE_TIME: time::Duration = time::Duration::from_millis(50);
 
+type Times = sync::Arc<sync::Mutex<Vec<time::Instant>>>;
+
+/// Requests that crash all starts of a server.
+#[derive(Debug, Clone)]
+pub struct CrashingRequests {
+    trigger: Trigger,
+    rate: f64,
+    arrivals: Times,
+}
+
+impl CrashingRequests {
+    /// Requests that crash the server in a fraction `rate` of their runs.
+    pub fn new(trigger: Trigger, rate: f64) -> Self {
+        Self { trigger, rate, arrivals: Default::default() }
+    }
+
+    /// Records an arrival if the request is one of these. Returns the probability that it crashes
+    /// the server.
+    pub fn record_arrival(&self, path: &str, body: &[u8]) -> f64 {
+        if !self.trigger.matches(path, body) {
+            return 0.0;
+        }
+        lock(&self.arrivals).push(time::Instant::now());
+        self.rate
+    }
+}
+
 /// Requests that crash the server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trigger {
@@ -61,10 +91,12 @@
         plan: CrashPlan,
         announce_address: net::SocketAddr,
     ) -> Self {
-        let behaviour = backend::Behaviour { crash_on: Some(plan.trigger.clone()), ..behaviour };
+        let crashing = CrashingRequests::new(plan.trigger.clone(), plan.rate);
+        let arrivals = crashing.arrivals.clone();
+        let behaviour = backend::Behaviour { crash_on: Some(crashing), ..behaviour };
         let first = backend::Backend::start(service, behaviour.clone()).await;
         let address = first.address;
-        let crashes = sync::Arc::new(sync::Mutex::new(Vec::new()));
+        let crashes = Times::default();
         let restart = sync::Arc::new(tokio::sync::Notify::new());
         let supervisor = Supervisor {
             service: service.to_owned(),
@@ -75,7 +107,7 @@
             restart: restart.clone(),
         };
         let supervisor = tokio::spawn(supervisor.run(first)).abort_handle();
-        Self { address, crashes, restart, supervisor }
+        Self { address, crashes, arrivals, restart, supervisor }
     }
 
     /// Returns the time of each crash that a request has caused.
@@ -83,6 +115,11 @@
         lock(&self.crashes).clone()
     }
 
+    /// Returns the time of each arrival of a request that may crash the server.
+    pub fn arrivals(&self) -> Vec<time::Instant> {
+        lock(&self.arrivals).clone()
+    }
+
     /// Crashes the server for a reason that has nothing to do with its requests.
     pub fn crash(&self) {
         self.restart.notify_one();
@@ -100,7 +137,7 @@
     behaviour: backend::Behaviour,
     plan: CrashPlan,
     announce_address: net::SocketAddr,
-    crashes: sync::Arc<sync::Mutex<Vec<time::Instant>>>,
+    crashes: Times,
     restart: sync::Arc<tokio::sync::Notify>,
 }
 
--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -31,9 +31,12 @@
 ";
 
 const DAEMONS: usize = 6;
+const LARGE_FLEET: usize = 60;
 /// Maximum number of daemons with a backend server. Ingresses would use only some of a larger number.
 const BACKENDS_MAX: usize = 30;
 const SERVICE_TIME: time::Duration = time::Duration::from_millis(20);
+/// Service time within which the copies of a burst all start to run.
+const SLOW: time::Duration = time::Duration::from_millis(110);
 const DOWNTIME: time::Duration = time::Duration::from_secs(2);
 /// Time after which every daemon acts on what any daemon knows.
 const STABLE: time::Duration = time::Duration::from_secs(3);
@@ -44,23 +47,57 @@
     backends: Vec<crashing_backend::CrashingBackend>,
 }
 
+/// Size of the fleet and behaviour of its backend servers.
+struct Scenario {
+    daemons: usize,
+    trigger: crashing_backend::Trigger,
+    is_silent: bool,
+    /// Fraction of the runs of a crashing request that crash the server.
+    crash_rate: f64,
+    /// Number of backend servers that fail requests, and the fraction of their requests.
+    failing: usize,
+    error_rate: f64,
+    service_time: time::Duration,
+    /// Number of copies sent at the same time.
+    burst: usize,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            daemons: DAEMONS,
+            trigger: crashing_backend::Trigger::Path("/crash"),
+            is_silent: false,
+            crash_rate: 1.0,
+            failing: 0,
+            error_rate: 0.0,
+            service_time: SERVICE_TIME,
+            burst: 1,
+        }
+    }
+}
+
 impl Setup {
     async fn start(trigger: crashing_backend::Trigger, is_silent: bool) -> Self {
-        Self::start_with(DAEMONS, trigger, is_silent).await
+        Self::start_with(&Scenario { trigger, is_silent, ..Default::default() }).await
     }
 
-    async fn start_with(
-        daemons: usize,
-        trigger: crashing_backend::Trigger,
-        is_silent: bool,
-    ) -> Self {
-        let domains = ["a", "b", "c"].repeat(daemons / 3);
+    async fn start_with(scenario: &Scenario) -> Self {
+        let domains = ["a", "b", "c"].repeat(scenario.daemons / 3);
         let fleet = fleet::Fleet::start(&domains, &[SECTION]).await;
-        let plan = crashing_backend::CrashPlan { trigger, is_silent, downtime: DOWNTIME };
-        let behaviour = backend::Behaviour { service_time: SERVICE_TIME, ..Default::default() };
+        let plan = crashing_backend::CrashPlan {
+            trigger: scenario.trigger.clone(),
+            rate: scenario.crash_rate,
+            is_silent: scenario.is_silent,
+            downtime: DOWNTIME,
+        };
+        let sound =
+            backend::Behaviour { service_time: scenario.service_time, ..Default::default() };
+        let failing = backend::Behaviour { error_rate: scenario.error_rate, ..sound.clone() };
         let mut backends = Vec::new();
-        for daemon in fleet.daemons.iter().take(BACKENDS_MAX) {
-            let (behaviour, plan, beside) = (behaviour.clone(), plan.clone(), daemon.listen.beside);
+        for (number, daemon) in fleet.daemons.iter().take(BACKENDS_MAX).enumerate() {
+            let behaviour = if number < scenario.failing { &failing } else { &sound }.clone();
+            let (plan, beside) = (plan.clone(), daemon.listen.beside);
             let backend =
                 crashing_backend::CrashingBackend::start("s", behaviour, plan, beside).await;
             fleet.await_upstream("s", backend.address, true).await;
@@ -80,21 +117,41 @@
         crashes
     }
 
+    /// Returns the times at which requests that may crash a server arrived at one, in order.
+    fn arrivals(&self) -> Vec<time::Instant> {
+        let mut arrivals: Vec<_> = self.backends.iter().flat_map(|b| b.arrivals()).collect();
+        arrivals.sort();
+        arrivals
+    }
+
     /// Sends copies of a request at all daemons in turn, and returns the responses.
     async fn send_copies(
         &self,
         request: &caller::Request,
         duration: time::Duration,
+    ) -> Vec<caller::Response> {
+        self.send_bursts(request, 1, duration).await
+    }
+
+    /// Sends copies of a request, `burst` at a time, at all daemons in turn, and returns the
+    /// responses.
+    async fn send_bursts(
+        &self,
+        request: &caller::Request,
+        burst: usize,
+        duration: time::Duration,
     ) -> Vec<caller::Response> {
         let mut copies = tokio::task::JoinSet::new();
         let started = time::Instant::now();
         for number in 0.. {
-            if started.elapsed() >= duration {
+            if number % burst == 0 && started.elapsed() >= duration {
                 break;
             }
             let (ingress, request) = (self.ingress(number), request.clone());
             copies.spawn(async move { caller::Caller::new(ingress).send(&request).await });
-            tokio::time::sleep(COPY_INTERVAL).await;
+            if number % burst == burst - 1 {
+                tokio::time::sleep(COPY_INTERVAL).await;
+            }
         }
         copies.join_all().await
     }
@@ -133,8 +190,6 @@
     assert_eq!(setup.crashes().len(), crashes);
 }
 
-const LARGE_FLEET: usize = 60;
-
 #[test_case::test_case(DAEMONS, false; "small fleet")]
 #[test_case::test_case(DAEMONS, true; "small fleet, silent crash")]
 #[test_case::test_case(LARGE_FLEET, false; "large fleet")]
@@ -142,8 +197,8 @@
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "run by hand: takes minutes"]
 async fn copies_that_arrive_for_a_minute_crash_few_upstreams(daemons: usize, is_silent: bool) {
-    let trigger = crashing_backend::Trigger::Path("/crash");
-    let setup = Setup::start_with(daemons, trigger, is_silent).await;
+    let scenario = Scenario { daemons, is_silent, ..Default::default() };
+    let setup = Setup::start_with(&scenario).await;
     setup.send_copies(&request("GET", "/crash", b""), time::Duration::from_secs(60)).await;
     let crashes = setup.crashes();
     println!("{daemons} daemons: {} crashes, {} late", crashes.len(), late_crashes(&crashes));
@@ -193,7 +248,37 @@
 
 /// Returns the crashes later than [`STABLE`] after the third one.
 fn late_crashes(crashes: &[time::Instant]) -> usize {
-    crashes.get(2).map_or(0, |third| crashes.iter().filter(|at| **at > *third + STABLE).count())
+    late_events(crashes, crashes)
+}
+
+/// Returns the number of `events` later than [`STABLE`] after the third crash.
+fn late_events(crashes: &[time::Instant], events: &[time::Instant]) -> usize {
+    crashes.get(2).map_or(0, |third| events.iter().filter(|at| **at > *third + STABLE).count())
+}
+
+/// Maximum number of copies that may reach upstreams later than [`STABLE`] after the third crash;
+/// from the users' rules.
+const LATE_ARRIVALS_MAX: usize = 3;
+
+// Guards against a response that lets a crashing request be sent to upstreams again: an error of an
+// upstream that has not run it, or a run that went well by chance.
+#[test_case::test_case(Scenario { failing: 2, error_rate: 1.0, ..Default::default() }, 4; "two of six upstreams fail")]
+#[test_case::test_case(Scenario { failing: 6, error_rate: 0.5, ..Default::default() }, 8; "half of the requests fail")]
+#[test_case::test_case(Scenario { crash_rate: 0.5, ..Default::default() }, 8; "half of the runs crash")]
+#[test_case::test_case(Scenario { crash_rate: 0.5, burst: 6, service_time: SLOW, ..Default::default() }, 8; "half of the runs of a burst crash")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_that_also_gets_responses_is_stopped(
+    scenario: Scenario,
+    crashes_max: usize,
+) {
+    let setup = Setup::start_with(&scenario).await;
+    let (crashing, duration) = (request("GET", "/crash", b""), time::Duration::from_secs(12));
+    setup.send_bursts(&crashing, scenario.burst, duration).await;
+    let (crashes, arrivals) = (setup.crashes(), setup.arrivals());
+    let late = late_events(&crashes, &arrivals);
+    println!("{} crashes, {} arrivals, {late} late", crashes.len(), arrivals.len());
+    assert!(late <= LATE_ARRIVALS_MAX, "{late} late arrivals, {} crashes", crashes.len());
+    assert!(crashes.len() <= crashes_max, "{} crashes", crashes.len());
 }
 
 // Guards against copies of a crashing request that reach one upstream after the other.
