Weigh responses against crashes before a request is cleared

Cause: a single response, a 500 of an upstream that had not run the request too, cleared a request of all crashes and hid those of the next 2 s. After each crash the upstreams that fail are what is left of the service, so the next copies went there and cleared it again. Class: one good sign erases what several bad ones have shown.

Change: a request is cleared once the daemons have counted eight responses for each crash; server errors do not count. Each daemon's count is exchanged with the suspicion, so that a frequent request is cleared although each ingress gets few of its copies. The records still only grow.

Three rows of the unit test that expected one response to clear a request are replaced by rows with one, fifteen and sixteen responses; the convergence test has a second circle of messages, as a daemon adds what it counted when it learns of a suspicion.

--- a/crates/state/src/event.rs
+++ b/crates/state/src/event.rs
@@ -71,12 +71,11 @@
             /// Fingerprint of the request.
             fingerprint: fingerprint::Fingerprint,
         },
-        /// Responses have shown that a suspected request did not cause the crashes known so far.
+        /// Enough responses have shown that a suspected request did not cause the crashes known so
+        /// far.
         RequestCleared {
             /// Fingerprint of the request.
             fingerprint: fingerprint::Fingerprint,
-            /// Status of the response that cleared it.
-            status: u16,
         },
         /// This ingress backs off from an upstream that it cannot use.
         UpstreamAvoided {
@@ -179,11 +178,8 @@
             Kind::RequestQuarantined { fingerprint } => {
                 write!(f, "request {fingerprint} crashes upstreams and is rejected")
             }
-            Kind::RequestCleared { fingerprint, status } => {
-                write!(
-                    f,
-                    "request {fingerprint} is cleared of crashes by a response, status {status}"
-                )
+            Kind::RequestCleared { fingerprint } => {
+                write!(f, "request {fingerprint} is cleared of crashes by its responses")
             }
             Kind::UpstreamAvoided { upstream } => write!(f, "upstream {upstream} is avoided"),
             Kind::ConnectionReplaced { peer } => {
--- a/crates/state/src/quarantine.rs
+++ b/crates/state/src/quarantine.rs
@@ -3,18 +3,23 @@
 //!
 //! A request is suspected when it was running at the crash of an upstream. Two such crashes
 //! quarantine it: its copies are rejected everywhere until [`QUARANTINE_DURATION`] after the latest
-//! crash, and then let in one at a time. A request that gets a response has not crashed its upstream,
-//! so a response clears it of all crashes known by then. The records only grow until they are
-//! forgotten, so daemons may merge them in any order and more than once.
+//! crash, and then let in one at a time.
+//!
+//! A run that ends with a response is evidence for the request, but a single one proves little: some
+//! requests crash only a part of their runs. The request is cleared of all crashes known so far once
+//! the daemons have counted [`RESPONSES_PER_CRASH`] responses for each of them. A server error is no
+//! evidence, as the upstream may have failed before it ran the request.
+//!
+//! The records only grow until they are forgotten, so daemons may merge them in any order and more
+//! than once.
+
+mod record;
 
 use std::collections;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net;
 use std::time;
 
 use indexmap::IndexMap;
-use siphasher::sip;
 
 use crate::fingerprint;
 use crate::ids;
@@ -26,6 +31,21 @@
         pub fingerprint: fingerprint::Fingerprint,
         /// Crashes of distinct starts of upstreams.
         pub crashes: Vec<Crash>,
+        /// Number of times that responses have cleared the request.
+        #[serde(default)]
+        pub generation: u32,
+        /// Responses since the request was last cleared, rounded down to powers of two.
+        #[serde(default)]
+        pub responses: Vec<ResponseCount>,
+    }
+
+    /// Responses to a suspected request that one daemon has received.
+    #[derive(Copy, Eq)]
+    pub struct ResponseCount {
+        /// The daemon.
+        pub reporter: ReporterId,
+        /// Number of responses.
+        pub count: u32,
     }
 
     /// Crash of an upstream under a suspected request.
@@ -51,35 +71,22 @@
     }
 }
 
+/// Identifies the daemon that counts responses; random for each start.
+pub type ReporterId = u64;
+
 /// Suspected requests, as known to one daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
-    suspects: IndexMap<fingerprint::Fingerprint, Record>,
-    /// Requests that got a response within [`SURVIVAL_MEMORY`], oldest first.
-    survivors: collections::VecDeque<(fingerprint::Fingerprint, time::Instant)>,
+    reporter: ReporterId,
+    suspects: IndexMap<fingerprint::Fingerprint, record::Record>,
+    /// Requests that got a response within [`RESPONSE_MEMORY`], oldest first.
+    responses: collections::VecDeque<(fingerprint::Fingerprint, time::Instant)>,
     /// Hash of `suspects`; `None` after a change.
     digest: Option<u64>,
     /// First suspect of the next page that is sent to a daemon with other suspects.
     page_cursor: usize,
 }
 
-#[derive(Debug, Default)]
-struct Record {
-    crashes: IndexMap<CrashKey, CrashState>,
-    /// Number of messages in which the record is still to be sent.
-    sends_left: u32,
-    /// When the last copy was let in after the quarantine.
-    last_trial: Option<time::Instant>,
-}
-
-type CrashKey = (net::SocketAddr, ids::Incarnation);
-
-#[derive(Debug, Clone, Copy)]
-struct CrashState {
-    at: time::Instant,
-    is_cleared: bool,
-}
-
 /// Number of crashed upstreams from which on a request is quarantined. A single one is often
 /// unrelated to the requests that were running.
 pub const CRASHES_MIN: usize = 2;
@@ -89,21 +96,35 @@
 const TRIAL_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Time from the latest crash under a request until the request is forgotten.
 const SUSPECT_MEMORY: time::Duration = time::Duration::from_secs(600);
-/// Time for which a response also clears a request of crashes that become known later. Covers
-/// frequent requests, of which several copies run at any time.
-const SURVIVAL_MEMORY: time::Duration = time::Duration::from_secs(2);
-const SURVIVORS_MAX: usize = 512;
+/// Number of responses for each crash that clear a request.
+pub const RESPONSES_PER_CRASH: u32 = 8;
+/// Time for which a response also counts for crashes that become known later. Covers frequent
+/// requests, of which several copies run at any time.
+const RESPONSE_MEMORY: time::Duration = time::Duration::from_secs(2);
+const RESPONSES_MAX: usize = 512;
 const SUSPECTS_MAX: usize = 1024;
-/// Maximum number of crashes held of one request.
-const CRASHES_MAX: usize = 8;
-/// Number of messages in which each daemon sends a changed record, enough for an epidemic to reach
-/// every daemon; daemons that it misses are found by their digest.
-const SENDS: u32 = 8;
 /// Maximum number of changed records, and of records for a daemon with another digest, in a
 /// message.
 const PAGE_SIZE: usize = 32;
 
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self::new(rand::random())
+    }
+}
+
 impl Quarantine {
+    /// Returns a quarantine without suspects. `reporter` identifies the start of this daemon.
+    pub fn new(reporter: ReporterId) -> Self {
+        Self {
+            reporter,
+            suspects: IndexMap::new(),
+            responses: collections::VecDeque::new(),
+            digest: None,
+            page_cursor: 0,
+        }
+    }
+
     /// Returns whether any request with this head hash is suspected.
     pub fn is_suspected_head(&self, head: u64) -> bool {
         let mut suspects = self.suspects.iter();
@@ -113,18 +134,7 @@
     /// Returns whether a copy of a request may be sent to an upstream. After the quarantine, this
     /// counts as a trial, and the next copy has to wait.
     pub fn admit(&mut self, request: &fingerprint::Fingerprint, now: time::Instant) -> bool {
-        let Some(record) = self.suspects.get_mut(request) else { return true };
-        if !record.is_repeated() {
-            return true;
-        }
-        let is_over = record.age(now) >= QUARANTINE_DURATION;
-        let on_trial =
-            record.last_trial.is_some_and(|at| now.saturating_duration_since(at) < TRIAL_INTERVAL);
-        let is_admitted = is_over && !on_trial;
-        if is_admitted {
-            record.last_trial = Some(now);
-        }
-        is_admitted
+        self.suspects.get_mut(request).is_none_or(|record| record.admit(now))
     }
 
     /// Records that an upstream crashed while it ran a request. Returns whether this quarantines
@@ -136,24 +146,33 @@
         incarnation: ids::Incarnation,
         now: time::Instant,
     ) -> bool {
-        if self.survived_recently(&request, now) {
-            return false;
-        }
         let crash = Crash { address, incarnation, age_ms: 0, is_cleared: false };
-        self.merge_suspect(&Suspect { fingerprint: request, crashes: vec![crash] }, now)
+        let (generation, responses) = (0, Vec::new());
+        let crashes = vec![crash];
+        self.merge_suspect(&Suspect { fingerprint: request, crashes, generation, responses }, now)
     }
 
-    /// Records that a request got a response. Returns whether this clears it of crashes.
-    pub fn record_survival(
+    /// Records that an upstream ran a request and responded, other than with a server error. Returns
+    /// whether this clears the request of crashes.
+    pub fn record_response(
         &mut self,
         request: fingerprint::Fingerprint,
         now: time::Instant,
     ) -> bool {
-        if self.survivors.len() == SURVIVORS_MAX {
-            self.survivors.pop_front();
+        if self.responses.len() == RESPONSES_MAX {
+            self.responses.pop_front();
+        }
+        self.responses.push_back((request, now));
+        let Some(record) = self.suspects.get_mut(&request) else { return false };
+        if !record.is_suspected() {
+            return false;
+        }
+        let is_counted = record.count_responses(self.reporter, 1);
+        let is_cleared = record.clear_if_proved();
+        if is_counted || is_cleared {
+            self.digest = None;
         }
-        self.survivors.push_back((request, now));
-        self.clear(&request)
+        is_cleared
     }
 
     /// Merges the suspicions of another daemon. Returns the requests that this quarantines.
@@ -162,21 +181,14 @@
         update: &SuspectUpdate,
         now: time::Instant,
     ) -> Vec<fingerprint::Fingerprint> {
-        let mut quarantined = Vec::new();
-        for suspect in &update.suspects {
-            let is_new = self.merge_suspect(suspect, now);
-            if self.survived_recently(&suspect.fingerprint, now) {
-                self.clear(&suspect.fingerprint);
-            } else if is_new {
-                quarantined.push(suspect.fingerprint);
-            }
-        }
-        quarantined
+        let suspects = update.suspects.iter();
+        let quarantined = suspects.filter(|suspect| self.merge_suspect(suspect, now));
+        quarantined.map(|suspect| suspect.fingerprint).collect()
     }
 
     /// Returns whether changed records are still to be sent.
     pub fn has_pending(&self) -> bool {
-        self.suspects.values().any(|record| record.sends_left > 0)
+        self.suspects.values().any(|record| record.sends_left() > 0)
     }
 
     /// Returns the suspicions for the first message of an exchange.
@@ -219,7 +231,7 @@
         let quarantined = self
             .suspects
             .values()
-            .filter(|record| record.is_repeated() && record.age(now) < QUARANTINE_DURATION);
+            .filter(|record| record.is_quarantined() && record.age(now) < QUARANTINE_DURATION);
         (suspected.count(), quarantined.count())
     }
 
@@ -232,64 +244,44 @@
         if !self.suspects.contains_key(&suspect.fingerprint) {
             self.make_room(now);
         }
+        let recent = self.recent_responses(&suspect.fingerprint, now);
         let record = self.suspects.entry(suspect.fingerprint).or_default();
-        let was_repeated = record.is_repeated();
-        let mut is_changed = false;
-        for crash in suspect.crashes.iter().take(CRASHES_MAX) {
-            let at = now.checked_sub(age(crash)).unwrap_or(now);
-            is_changed |= record.merge_crash(crash, at);
-        }
-        if is_changed {
-            record.sends_left = SENDS;
+        let was_quarantined = record.is_quarantined();
+        let is_merged = record.merge(suspect, now);
+        let is_counted = record.is_uncounted() && record.count_responses(self.reporter, recent);
+        let is_cleared = record.clear_if_proved();
+        if is_merged || is_counted || is_cleared {
             self.digest = None;
         }
-        record.is_repeated() && !was_repeated
+        record.is_quarantined() && !was_quarantined
     }
 
-    /// Clears a request of all crashes known so far. Returns whether there were any.
-    fn clear(&mut self, request: &fingerprint::Fingerprint) -> bool {
-        let Some(record) = self.suspects.get_mut(request) else { return false };
-        if !record.is_suspected() {
-            return false;
+    /// Returns the number of responses to a request within [`RESPONSE_MEMORY`].
+    fn recent_responses(&mut self, request: &fingerprint::Fingerprint, now: time::Instant) -> u32 {
+        let is_recent = |at: time::Instant| now.saturating_duration_since(at) < RESPONSE_MEMORY;
+        while self.responses.front().is_some_and(|(_, at)| !is_recent(*at)) {
+            self.responses.pop_front();
         }
-        record.crashes.values_mut().for_each(|crash| crash.is_cleared = true);
-        record.sends_left = SENDS;
-        self.digest = None;
-        true
-    }
-
-    fn survived_recently(
-        &mut self,
-        request: &fingerprint::Fingerprint,
-        now: time::Instant,
-    ) -> bool {
-        let is_recent = |at: time::Instant| now.saturating_duration_since(at) < SURVIVAL_MEMORY;
-        while self.survivors.front().is_some_and(|(_, at)| !is_recent(*at)) {
-            self.survivors.pop_front();
-        }
-        self.survivors.iter().any(|(survivor, _)| survivor == request)
+        self.responses.iter().filter(|(recent, _)| recent == request).count() as u32
     }
 
     /// Makes room for another suspect. The one with the oldest latest crash is forgotten, and those
-    /// with a single crash first, so that many different requests do not displace a dangerous one.
+    /// that are not quarantined first, so that many different requests do not displace a dangerous
+    /// one.
     fn make_room(&mut self, now: time::Instant) {
         if self.suspects.len() < SUSPECTS_MAX {
             return;
         }
         let suspects = self.suspects.iter().enumerate();
-        let oldest = suspects.max_by_key(|(_, (_, r))| (!r.is_repeated(), r.age(now)));
+        let oldest = suspects.max_by_key(|(_, (_, r))| (!r.is_quarantined(), r.age(now)));
         if let Some(index) = oldest.map(|(index, _)| index) {
             self.suspects.swap_remove_index(index);
         }
     }
 
     fn take_pending(&mut self, now: time::Instant) -> Vec<Suspect> {
-        let pending = self.suspects.iter_mut().filter(|(_, record)| record.sends_left > 0);
-        let sent = pending.take(PAGE_SIZE).map(|(id, record)| {
-            record.sends_left -= 1;
-            record.to_suspect(*id, now)
-        });
-        sent.collect()
+        let pending = self.suspects.iter_mut().filter(|(_, record)| record.sends_left() > 0);
+        pending.take(PAGE_SIZE).map(|(id, record)| record.send(*id, now)).collect()
     }
 
     fn next_page(&mut self, now: time::Instant) -> Vec<Suspect> {
@@ -305,67 +297,11 @@
             return digest;
         }
         let suspects = self.suspects.iter();
-        let hashes = suspects.flat_map(|(fingerprint, record)| {
-            let crashes = record.crashes.iter();
-            crashes.map(move |(key, state)| hash(&(fingerprint, key, state.is_cleared)))
-        });
-        let digest = hashes.fold(0, |all, one| all ^ one);
+        let digest = suspects.fold(0, |all, (id, record)| all ^ record.digest(id));
         self.digest = Some(digest);
         digest
     }
 }
 
-impl Record {
-    fn is_suspected(&self) -> bool {
-        self.crashes.values().any(|crash| !crash.is_cleared)
-    }
-
-    /// Returns whether enough upstreams have crashed under the request for a quarantine.
-    fn is_repeated(&self) -> bool {
-        self.crashes.values().filter(|crash| !crash.is_cleared).count() >= CRASHES_MIN
-    }
-
-    /// Returns the time since the latest crash.
-    fn age(&self, now: time::Instant) -> time::Duration {
-        let latest = self.crashes.values().map(|crash| crash.at).max();
-        latest.map_or(time::Duration::MAX, |at| now.saturating_duration_since(at))
-    }
-
-    /// Adds a crash or what is new about it. Returns whether anything is.
-    fn merge_crash(&mut self, crash: &Crash, at: time::Instant) -> bool {
-        let key = (crash.address, crash.incarnation);
-        if let Some(known) = self.crashes.get_mut(&key) {
-            // Ages are measured when they are sent, so the earliest time is the most accurate.
-            known.at = known.at.min(at);
-            return crash.is_cleared && !std::mem::replace(&mut known.is_cleared, true);
-        }
-        if self.crashes.len() >= CRASHES_MAX {
-            let oldest = self.crashes.iter().min_by_key(|(_, state)| state.at);
-            let Some((oldest, _)) = oldest.filter(|(_, state)| state.at < at) else { return false };
-            let oldest = *oldest;
-            self.crashes.swap_remove(&oldest);
-        }
-        self.crashes.insert(key, CrashState { at, is_cleared: crash.is_cleared });
-        true
-    }
-
-    fn to_suspect(&self, fingerprint: fingerprint::Fingerprint, now: time::Instant) -> Suspect {
-        let crashes = self.crashes.iter().map(|((address, incarnation), state)| Crash {
-            address: *address,
-            incarnation: *incarnation,
-            age_ms: now.saturating_duration_since(state.at).as_millis() as u64,
-            is_cleared: state.is_cleared,
-        });
-        Suspect { fingerprint, crashes: crashes.collect() }
-    }
-}
-
-/// Returns a hash that is the same in every process.
-fn hash(value: &impl Hash) -> u64 {
-    let mut hasher = sip::SipHasher13::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/quarantine/tests.rs
+++ b/crates/state/src/quarantine/tests.rs
@@ -19,8 +19,8 @@
 enum Event {
     /// An upstream (host, incarnation) crashes while it runs the request.
     Crash(u8, u64),
-    /// The request gets a response.
-    Survival,
+    /// The request gets this number of responses.
+    Responses(u32),
 }
 
 /// Applies events and returns whether a copy is admitted at `at_ms`.
@@ -33,24 +33,31 @@
             Event::Crash(host, incarnation) => {
                 quarantine.record_crash(REQUEST, address(*host), *incarnation, now);
             }
-            Event::Survival => {
-                quarantine.record_survival(REQUEST, now);
+            Event::Responses(count) => {
+                (0..*count).for_each(|_| {
+                    quarantine.record_response(REQUEST, now);
+                });
             }
         }
     }
     quarantine.admit(&REQUEST, start + Duration::from_millis(at_ms))
 }
 
-use Event::{Crash as Crashed, Survival};
+use Event::{Crash as Crashed, Responses};
 #[test_case(&[], 0, true; "no crash")]
 #[test_case(&[(0, Crashed(1, 1))], 1, true; "one crash")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(1, 1))], 9, true; "one crash reported twice")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1))], 9, false; "two upstreams")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(1, 2))], 9, false; "two starts of one upstream")]
-#[test_case(&[(0, Crashed(1, 1)), (5, Survival), (3_000, Crashed(2, 1))], 3_100, true; "a response between crashes")]
-#[test_case(&[(0, Survival), (10, Crashed(1, 1)), (20, Crashed(2, 1))], 30, true; "frequent request beside simultaneous crashes")]
-#[test_case(&[(0, Survival), (2_100, Crashed(1, 1)), (2_200, Crashed(2, 1))], 2_300, false; "a response long before the crashes")]
-#[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1)), (6, Survival)], 9, true; "a response after the crashes")]
+#[test_case(&[(0, Crashed(1, 1)), (5, Responses(8)), (3_000, Crashed(2, 1))], 3_100, true; "responses between crashes")]
+#[test_case(&[(0, Crashed(1, 1)), (5, Responses(1)), (3_000, Crashed(2, 1))], 3_100, false; "one response between crashes")]
+#[test_case(&[(0, Responses(16)), (10, Crashed(1, 1)), (20, Crashed(2, 1))], 30, true; "frequent request beside simultaneous crashes")]
+#[test_case(&[(0, Responses(1)), (10, Crashed(1, 1)), (20, Crashed(2, 1))], 30, false; "one response before the crashes")]
+#[test_case(&[(0, Responses(16)), (2_100, Crashed(1, 1)), (2_200, Crashed(2, 1))], 2_300, false; "responses long before the crashes")]
+#[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1)), (6, Responses(16))], 9, true; "responses after the crashes")]
+#[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1)), (6, Responses(15))], 9, false; "too few responses after the crashes")]
+#[test_case(&[(0, Crashed(1, 1)), (1, Responses(3)), (2, Crashed(2, 1)), (3, Responses(4)), (4, Crashed(3, 1))], 9, false; "most runs go well")]
+#[test_case(&[(0, Responses(64)), (2_100, Crashed(1, 1)), (2_200, Responses(8)), (5_000, Crashed(2, 1)), (5_100, Crashed(3, 1))], 5_200, false; "crashes begin after the request was cleared")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1))], 300_000, false; "before the end of the quarantine")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1))], 300_006, true; "trial after the quarantine")]
 #[test_case(&[(0, Crashed(1, 1)), (5, Crashed(2, 1)), (300_010, Crashed(3, 1))], 300_020, false; "crash of a trial")]
@@ -96,6 +103,48 @@
     assert!(!quarantine.admit(&REQUEST, now));
 }
 
+// Guards against a frequent request that is rejected because each daemon gets only a few responses.
+#[test]
+fn responses_of_several_daemons_count_together() {
+    let now = Instant::now();
+    let mut daemons: Vec<Quarantine> = (0..8).map(Quarantine::new).collect();
+    for daemon in &mut daemons {
+        (0..2).for_each(|_| {
+            daemon.record_response(REQUEST, now);
+        });
+    }
+    daemons[0].record_crash(REQUEST, address(1), 1, now);
+    daemons[1].record_crash(REQUEST, address(2), 1, now);
+    let (first, others) = daemons.split_first_mut().expect("eight daemons");
+    // The suspicion reaches all, then their counts reach the first, then its decision reaches all.
+    for _ in 0..3 {
+        others.iter_mut().for_each(|other| exchange(other, first, now));
+    }
+    assert!(daemons.iter_mut().all(|daemon| daemon.admit(&REQUEST, now)));
+}
+
+#[test]
+fn a_record_holds_the_largest_counts_of_a_bounded_number_of_daemons() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(0);
+    quarantine.record_crash(REQUEST, address(1), 1, now);
+    (2..8).for_each(|host| {
+        quarantine.record_crash(REQUEST, address(host), 1, now);
+    });
+    let count = |reporter| ResponseCount { reporter, count: 1 + (reporter == 99) as u32 };
+    for reporter in 1..100 {
+        let responses = vec![count(reporter)];
+        let crashes =
+            vec![Crash { address: address(1), incarnation: 1, age_ms: 0, is_cleared: false }];
+        let suspect = Suspect { fingerprint: REQUEST, crashes, generation: 0, responses };
+        quarantine.merge(&SuspectUpdate { digest: 0, suspects: vec![suspect] }, now);
+    }
+    let update = quarantine.reply(&SuspectUpdate::default(), true, now);
+    let responses = &update.suspects[0].responses;
+    assert_eq!(responses.len(), 32);
+    assert!(responses.contains(&count(99)));
+}
+
 #[test]
 fn suspects_are_forgotten_and_not_learned_again() {
     let start = Instant::now();
@@ -148,12 +197,17 @@
         for (daemon, head, host, survives) in steps {
             let request = fingerprint::Fingerprint { head, body: 0 };
             if survives {
-                daemons[daemon].clear(&request);
+                (0..RESPONSES_PER_CRASH).for_each(|_| {
+                    daemons[daemon].record_response(request, now);
+                });
             } else {
                 daemons[daemon].record_crash(request, address(host), 1, now);
             }
         }
-        let rounds = order.into_iter().chain([(0, 1), (1, 2), (2, 0), (0, 1), (1, 2)]);
+        // A daemon that learns of a suspicion adds the responses that it got, so that the others
+        // need a second circle.
+        let circle = [(0, 1), (1, 2), (2, 0)];
+        let rounds = order.into_iter().chain(circle.repeat(3));
         for (from, to) in rounds.filter(|(from, to)| from != to) {
             let full = daemons[from].reply(&SuspectUpdate::default(), true, now);
             daemons[to].merge(&full, now);
--- a/crates/testing/examples/measure/fingerprint.rs
+++ b/crates/testing/examples/measure/fingerprint.rs
@@ -34,7 +34,7 @@
             hasher.update(&body);
             let request = fingerprint::Fingerprint { head, body: hasher.hash() };
             hint::black_box(quarantine.is_suspected_head(head));
-            quarantine.record_survival(request, started);
+            quarantine.record_response(request, started);
             count += 1;
         }
         let time_us = started.elapsed().as_secs_f64() * 1e6 / f64::from(count);
--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -246,6 +246,41 @@
     assert_eq!(quarantined.iter().sum::<usize>(), 0);
 }
 
+const CRASHING_PATHS: [&str; 5] = ["/crash?1", "/crash?2", "/crash?3", "/crash?4", "/crash?5"];
+
+// Guards against rejecting a frequent request that runs at most crashes that other requests cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frequent_request_is_served_while_others_crash_upstreams() {
+    let setup = Setup::start_with(&Scenario { service_time: SLOW, ..Default::default() }).await;
+    let done = sync::atomic::AtomicBool::new(false);
+    let send = |sender: usize| {
+        let (setup, done) = (&setup, &done);
+        async move {
+            let caller = caller::Caller::new(setup.ingress(sender));
+            let (mut served, mut sent) = (0, 0);
+            while !done.load(sync::atomic::Ordering::Relaxed) {
+                let response = caller.send(&request("GET", "/frequent", b"")).await;
+                served += usize::from(response.is_success());
+                sent += 1;
+            }
+            (served, sent)
+        }
+    };
+    let crash = async {
+        for path in CRASHING_PATHS {
+            tokio::time::sleep(DOWNTIME).await;
+            setup.send_copies(&request("GET", path, b""), COPY_INTERVAL * 2).await;
+        }
+        done.store(true, sync::atomic::Ordering::Relaxed);
+    };
+    let senders = futures::future::join_all((0..2 * DAEMONS).map(send));
+    let (results, ()) = tokio::join!(senders, crash);
+    let served: usize = results.iter().map(|(served, _)| served).sum();
+    let sent: usize = results.iter().map(|(_, sent)| sent).sum();
+    println!("{served} of {sent} served, {} crashes", setup.crashes().len());
+    assert!(served * 100 >= sent * 90, "{served} of {sent} served");
+}
+
 /// Returns the crashes later than [`STABLE`] after the third one.
 fn late_crashes(crashes: &[time::Instant]) -> usize {
     late_events(crashes, crashes)
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -61,7 +61,7 @@
             Ok(response) => response,
             Err(end) => return Err(self.attribute_to_caller(context, end)),
         };
-        self.record_survival(context, response.status().as_u16());
+        self.record_response(context, response.status());
         let elapsed = self.shared.now().saturating_duration_since(started);
         let service = &context.route_match.service.name;
         self.shared
--- a/crates/transport/src/ingress/quarantine.rs
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -30,13 +30,19 @@
         is_admitted.then_some(()).ok_or(rejected)
     }
 
-    /// Records that an upstream has responded to the request.
-    pub(super) fn record_survival(&self, context: &ingress::RequestContext, status: u16) {
-        let Some(fingerprint) = context.fingerprint() else { return };
-        let now = self.shared.now();
-        let is_cleared = self.shared.quarantine().record_survival(fingerprint, now);
+    /// Records that an upstream has responded to the request. After a server error it is not known
+    /// whether the upstream has run it to its end.
+    pub(super) fn record_response(
+        &self,
+        context: &ingress::RequestContext,
+        status: http::StatusCode,
+    ) {
+        let Some(fingerprint) = context.fingerprint().filter(|_| !status.is_server_error()) else {
+            return;
+        };
+        let is_cleared = self.shared.quarantine().record_response(fingerprint, self.shared.now());
         if is_cleared {
-            self.shared.record_event(event::Kind::RequestCleared { fingerprint, status });
+            self.shared.record_event(event::Kind::RequestCleared { fingerprint });
         }
     }
 
