Wait for news of other crashes before a crashed attempt is retried

Cause: each ingress knew only of the crash under its own copy, and sent that copy to another upstream at once, while the news of the other crashes takes some exchanges of 50 ms.

Change: an idempotent request under which an upstream has crashed waits for 0.1 s, at most a quarter of the time left, before it is sent again, and is rejected if the news has quarantined it meanwhile.

--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -246,6 +246,32 @@
     assert_eq!(quarantined.iter().sum::<usize>(), 0);
 }
 
+/// Number of copies that are sent at the same time.
+const BURST: usize = 6;
+
+// Guards against copies that are retried before their ingresses know of the crashes that the others
+// have caused. Those of a first burst run before anything is known.
+#[tokio::test(flavor = "multi_thread")]
+async fn copies_of_a_burst_are_not_retried() {
+    check_burst(9).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "run by hand: takes half a minute"]
+async fn copies_of_a_burst_are_not_retried_in_a_large_fleet() {
+    check_burst(LARGE_FLEET).await;
+}
+
+async fn check_burst(daemons: usize) {
+    let scenario = Scenario { daemons, service_time: SLOW, ..Default::default() };
+    let setup = Setup::start_with(&scenario).await;
+    let (crashing, duration) = (request("GET", "/crash", b""), time::Duration::from_secs(4));
+    setup.send_bursts(&crashing, BURST, duration).await;
+    let (crashes, arrivals) = (setup.crashes().len(), setup.arrivals().len());
+    println!("{crashes} crashes, {arrivals} arrivals");
+    assert!(crashes <= BURST, "{crashes} crashes");
+}
+
 const CRASHING_PATHS: [&str; 5] = ["/crash?1", "/crash?2", "/crash?3", "/crash?4", "/crash?5"];
 
 // Guards against rejecting a frequent request that runs at most crashes that other requests cause.
@@ -300,7 +326,7 @@
 #[test_case::test_case(Scenario { failing: 2, error_rate: 1.0, ..Default::default() }, 4; "two of six upstreams fail")]
 #[test_case::test_case(Scenario { failing: 6, error_rate: 0.5, ..Default::default() }, 8; "half of the requests fail")]
 #[test_case::test_case(Scenario { crash_rate: 0.5, ..Default::default() }, 8; "half of the runs crash")]
-#[test_case::test_case(Scenario { crash_rate: 0.5, burst: 6, service_time: SLOW, ..Default::default() }, 8; "half of the runs of a burst crash")]
+#[test_case::test_case(Scenario { crash_rate: 0.5, burst: BURST, service_time: SLOW, ..Default::default() }, 8; "half of the runs of a burst crash")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crashing_request_that_also_gets_responses_is_stopped(
     scenario: Scenario,
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -372,6 +372,9 @@
                 Err(end) => end,
             };
             progress.record_end(address, end);
+            if end == retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost) {
+                self.await_crash_reports(context).await;
+            }
             if let Err(quarantined) = self.check_quarantine(context).await {
                 progress.is_quarantined = true;
                 return Err(progress.may_have_run.unwrap_or(quarantined));
--- a/crates/transport/src/ingress/quarantine.rs
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -1,5 +1,7 @@
 //! Rejection of requests that crash the upstreams that run them.
 
+use std::time;
+
 use lynxmast_protocol::envelope;
 use lynxmast_state::clock;
 use lynxmast_state::event;
@@ -8,7 +10,21 @@
 
 use crate::ingress;
 
+/// Longest wait before a request is sent again under which an upstream has crashed: within it, most
+/// daemons learn of the crashes that others have found.
+const CRASH_RETRY_DELAY: time::Duration = time::Duration::from_millis(100);
+
 impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Waits for news of other crashes before a retry if an upstream has crashed under a copy of the
+    /// request. Takes at most a quarter of the time left.
+    pub(super) async fn await_crash_reports(&self, context: &ingress::RequestContext) {
+        if !context.idempotent || !self.shared.quarantine().is_suspected_head(context.head_hash) {
+            return;
+        }
+        let remaining = context.deadline.saturating_duration_since(self.shared.now());
+        tokio::time::sleep(CRASH_RETRY_DELAY.min(remaining / 4)).await;
+    }
+
     /// Rejects a request whose copies have crashed upstreams. If only the head equals that of such a
     /// request, as much of the body is read as is needed to tell them apart.
     pub(super) async fn check_quarantine(
