Report a response as stalled also if the stall monitor ends it

What callers saw: 502 truncated in place of 504 stalled for a response that stopped within its body.

Cause: the stall monitor and the body's own timer run for the same time. If the monitor came first, the exchange was gone when the body was polled, and the body reported a cancelled exchange, which the ingress passes on as truncated.

Change: an abandoned exchange keeps the reason, and the body reports it.

--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -57,6 +57,8 @@
 struct State<C: clock::Clock> {
     /// `None` once the exchange has ended.
     exchange: Option<Exchange<C>>,
+    /// Why the exchange ended before the response was complete.
+    abandoned: Option<body_error::BodyError>,
     last_progress: time::Instant,
 }
 
@@ -75,7 +77,7 @@
         monitor: &StallMonitor<C>,
     ) -> SidecarBody<C> {
         let is_complete = self.incoming.is_end_stream();
-        let state = State { exchange: Some(self), last_progress: now };
+        let state = State { exchange: Some(self), abandoned: None, last_progress: now };
         let tracked =
             sync::Arc::new(TrackedExchange { stall_timeout, state: sync::Mutex::new(state) });
         if is_complete {
@@ -127,8 +129,11 @@
     }
 
     /// Ends the exchange before the response is complete: frees the slot and closes the connection.
-    fn abandon(&self) {
-        let exchange = self.lock().exchange.take();
+    fn abandon(&self, reason: body_error::BodyError) {
+        let mut state = self.lock();
+        let exchange = state.exchange.take();
+        state.abandoned.get_or_insert(reason);
+        drop(state);
         drop(exchange);
     }
 }
@@ -158,7 +163,7 @@
             state.exchange.is_some() && idle > tracked.stall_timeout
         };
         let stalled: Vec<_> = live.into_iter().filter(is_stalled).collect();
-        stalled.iter().for_each(|tracked| tracked.abandon());
+        stalled.iter().for_each(|tracked| tracked.abandon(body_error::BodyError::Stalled));
         stalled.len()
     }
 
@@ -181,7 +186,8 @@
         }
         let mut state = this.tracked.lock();
         let Some(exchange) = &mut state.exchange else {
-            return task::Poll::Ready(Some(Err(body_error::BodyError::Cancelled)));
+            let reason = state.abandoned.unwrap_or(body_error::BodyError::Cancelled);
+            return task::Poll::Ready(Some(Err(reason)));
         };
         let polled = pin::Pin::new(&mut exchange.incoming).poll_frame(cx);
         let is_last = exchange.incoming.is_end_stream();
@@ -199,7 +205,7 @@
             }
         };
         match &result {
-            Some(Err(_)) => this.tracked.abandon(),
+            Some(Err(error)) => this.tracked.abandon(*error),
             Some(Ok(_)) if !is_last => {}
             // The exchange ends with the last byte, so that the slot is free at once.
             Some(Ok(_)) | None => {
@@ -226,6 +232,6 @@
 
 impl<C: clock::Clock> Drop for SidecarBody<C> {
     fn drop(&mut self) {
-        self.tracked.abandon();
+        self.tracked.abandon(body_error::BodyError::Cancelled);
     }
 }
