Keep the port of a crashed backend server from other processes in tests

Change: close_port waits until the server has ended and keeps the port bound, so that it refuses connections. The restarts of CrashingBackend use it as well, and no longer sleep until the port is free. The checks are unchanged.

--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -223,6 +223,16 @@
         self.server.abort();
     }
 
+    /// Simulates a crash, and waits until the port is closed. No other process gets the port while
+    /// the returned guard exists.
+    pub async fn close_port(&self) -> ClosedPort {
+        self.crash();
+        while !self.server.is_finished() {
+            tokio::time::sleep(time::Duration::from_millis(1)).await;
+        }
+        ClosedPort { _socket: bind(self.address).await }
+    }
+
     /// Waits until a request has crashed the server. The caller carries the crash out.
     pub async fn crashed(&self) {
         self.state.crashed.notified().await;
@@ -290,6 +300,12 @@
     }
 }
 
+/// Reserves the port of a crashed backend server, which refuses connections.
+#[derive(Debug)]
+pub struct ClosedPort {
+    _socket: tcp::TcpSocket,
+}
+
 /// Keeps the port of a silent backend server occupied.
 #[derive(Debug)]
 pub struct SilentPort(tasks::AbortHandle);
@@ -303,17 +319,22 @@
 /// Listens at `address` with a full queue of new connections, so that the kernel does not respond to
 /// further ones.
 async fn occupy(address: net::SocketAddr) {
-    let listener = loop {
+    let listener = bind(address).await.listen(1).expect("a bound port");
+    let filling = (0..4).map(|_| tcp::TcpStream::connect(address));
+    let _filled = futures::future::join_all(filling).await;
+    drop(listener);
+}
+
+/// Binds a socket to an address as soon as the address is free.
+async fn bind(address: net::SocketAddr) -> tcp::TcpSocket {
+    loop {
         let socket = tcp::TcpSocket::new_v4().expect("a socket");
         socket.set_reuseaddr(true).expect("an option");
-        match socket.bind(address).and_then(|()| socket.listen(1)) {
-            Ok(listener) => break listener,
+        match socket.bind(address) {
+            Ok(()) => return socket,
             Err(_) => tokio::time::sleep(time::Duration::from_millis(1)).await,
         }
-    };
-    let filling = (0..4).map(|_| tcp::TcpStream::connect(address));
-    let _filled = futures::future::join_all(filling).await;
-    drop(listener);
+    }
 }
 
 async fn serve_connections(listener: tcp::TcpListener, state: sync::Arc<State>) {
--- a/crates/testing/src/crashing_backend.rs
+++ b/crates/testing/src/crashing_backend.rs
@@ -33,9 +33,6 @@
     pub downtime: time::Duration,
 }
 
-/// Time until the port of an aborted server is free again.
-const PORT_RELEASE_TIME: time::Duration = time::Duration::from_millis(50);
-
 type Times = sync::Arc<sync::Mutex<Vec<time::Instant>>>;
 
 /// Requests that crash all starts of a server.
@@ -151,14 +148,16 @@
                 () = backend.crashed() => lock(&self.crashes).push(time::Instant::now()),
                 () = self.restart.notified() => {}
             }
-            let silent = self.plan.is_silent.then(|| backend.silence());
-            if silent.is_none() {
-                backend.crash();
+            if self.plan.is_silent {
+                let silent = backend.silence();
+                tokio::time::sleep(self.plan.downtime).await;
+                drop(silent);
+                drop(backend.close_port().await);
+            } else {
+                let closed = backend.close_port().await;
+                tokio::time::sleep(self.plan.downtime).await;
+                drop(closed);
             }
-            tokio::time::sleep(self.plan.downtime).await;
-            backend.crash();
-            drop(silent);
-            tokio::time::sleep(PORT_RELEASE_TIME).await;
             let behaviour = self.behaviour.clone();
             backend =
                 backend::Backend::start_at(&self.service, behaviour, address, incarnation).await;
--- a/crates/testing/tests/outcomes.rs
+++ b/crates/testing/tests/outcomes.rs
@@ -90,7 +90,7 @@
     let fleet = fleet::Fleet::start(&["a", "b"], &[SECTION]).await;
     let crashed = fleet.add_backend(0, "s", backend::Behaviour::default()).await;
     let good = fleet.add_backend(1, "s", backend::Behaviour::default()).await;
-    crashed.crash();
+    let _closed = crashed.close_port().await;
     let caller = caller::Caller::new(fleet.ingress_address(0));
     for _ in 0..20 {
         let response = caller.send(&request("/book")).await;
@@ -149,7 +149,7 @@
     let fleet = fleet::Fleet::start(&["a", "b"], &[SECTION]).await;
     let crashed = fleet.add_backend(0, "s", backend::Behaviour::default()).await;
     let good = fleet.add_backend(1, "s", backend::Behaviour::default()).await;
-    crashed.crash();
+    let _closed = crashed.close_port().await;
     let mut upload = request("/book");
     upload.body = Bytes::from(vec![7; 8 * 1024 * 1024]);
     let caller = caller::Caller::new(fleet.ingress_address(0));
@@ -264,7 +264,7 @@
     let busy = scripted_backend::Step::Send("HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n");
     let shedding = scripted_backend::ScriptedBackend::start(vec![vec![busy]]).await;
     fleet.announce_once(0, "s", shedding.address).await;
-    crashed.crash();
+    let _closed = crashed.close_port().await;
     let caller = caller::Caller::new(fleet.ingress_address(0));
     let mut runs = 0;
     for _ in 0..20 {
