Quarantine by the responses to a request for each of its crashes

Cause: a quarantined request gets no further responses, so a request that ran at most crashes of another one had to have eight responses for each by then; most of the service was down, and it had 3 to 11 in all.

Change: four responses for each crash keep a request out of quarantine, counted exactly up to eight by daemon; 32 clear it of all crashes. A crash of a request that no upstream has responded to counts only against that one.

--- a/crates/state/src/quarantine.rs
+++ b/crates/state/src/quarantine.rs
@@ -6,9 +6,11 @@
 //! crash, and then let in one at a time.
 //!
 //! A run that ends with a response is evidence for the request, but a single one proves little: some
-//! requests crash only a part of their runs. The request is cleared of all crashes known so far once
-//! the daemons have counted [`RESPONSES_PER_CRASH`] responses for each of them. A server error is no
-//! evidence, as the upstream may have failed before it ran the request.
+//! requests crash only a part of their runs. A request is not quarantined while the daemons have
+//! counted [`RESPONSES_PER_CRASH`] responses for each crash, and is cleared of all crashes known so far
+//! by [`CLEARING_RESPONSES`]. Beside a request that gets no response at all, a crash of both counts
+//! only against that one. A server error is no evidence, as the upstream may have failed before it
+//! ran the request.
 //!
 //! The records only grow until they are forgotten, so daemons may merge them in any order and more
 //! than once.
@@ -34,7 +36,7 @@
         /// Number of times that responses have cleared the request.
         #[serde(default)]
         pub generation: u32,
-        /// Responses since the request was last cleared, rounded down to powers of two.
+        /// Responses since the request was last cleared; larger numbers are rounded down.
         #[serde(default)]
         pub responses: Vec<ResponseCount>,
     }
@@ -96,8 +98,12 @@
 const TRIAL_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Time from the latest crash under a request until the request is forgotten.
 const SUSPECT_MEMORY: time::Duration = time::Duration::from_secs(600);
-/// Number of responses for each crash that clear a request.
-pub const RESPONSES_PER_CRASH: u32 = 8;
+/// Number of responses for each crash that keep a request out of quarantine.
+pub const RESPONSES_PER_CRASH: u32 = 4;
+/// Maximum number of crashes held of one request.
+const CRASHES_MAX: usize = 8;
+/// Number of responses that clear a request of all crashes: enough for as many as are held.
+pub const CLEARING_RESPONSES: u32 = CRASHES_MAX as u32 * RESPONSES_PER_CRASH;
 /// Time for which a response also counts for crashes that become known later. Covers frequent
 /// requests, of which several copies run at any time.
 const RESPONSE_MEMORY: time::Duration = time::Duration::from_secs(2);
@@ -134,7 +140,20 @@
     /// Returns whether a copy of a request may be sent to an upstream. After the quarantine, this
     /// counts as a trial, and the next copy has to wait.
     pub fn admit(&mut self, request: &fingerprint::Fingerprint, now: time::Instant) -> bool {
-        self.suspects.get_mut(request).is_none_or(|record| record.admit(now))
+        if !self.is_quarantined(request) {
+            return true;
+        }
+        self.suspects.get_mut(request).is_none_or(|record| record.admit_trial(now))
+    }
+
+    /// Returns whether copies of a request are rejected. A crash under a request that no upstream has
+    /// responded to is explained by it, and does not count against requests with responses.
+    fn is_quarantined(&self, request: &fingerprint::Fingerprint) -> bool {
+        let Some(record) = self.suspects.get(request) else { return false };
+        record.is_fatal()
+            || record.is_quarantined(|crash| {
+                self.suspects.values().any(|other| other.is_fatal() && other.has_crash(crash))
+            })
     }
 
     /// Records that an upstream crashed while it ran a request. Returns whether this quarantines
@@ -153,7 +172,7 @@
     }
 
     /// Records that an upstream ran a request and responded, other than with a server error. Returns
-    /// whether this clears the request of crashes.
+    /// whether this clears the request of crashes or ends its quarantine.
     pub fn record_response(
         &mut self,
         request: fingerprint::Fingerprint,
@@ -163,6 +182,7 @@
             self.responses.pop_front();
         }
         self.responses.push_back((request, now));
+        let was_quarantined = self.is_quarantined(&request);
         let Some(record) = self.suspects.get_mut(&request) else { return false };
         if !record.is_suspected() {
             return false;
@@ -172,7 +192,7 @@
         if is_counted || is_cleared {
             self.digest = None;
         }
-        is_cleared
+        is_cleared || (was_quarantined && !self.is_quarantined(&request))
     }
 
     /// Merges the suspicions of another daemon. Returns the requests that this quarantines.
@@ -228,10 +248,9 @@
     /// former.
     pub fn counts(&self, now: time::Instant) -> (usize, usize) {
         let suspected = self.suspects.values().filter(|record| record.is_suspected());
-        let quarantined = self
-            .suspects
-            .values()
-            .filter(|record| record.is_quarantined() && record.age(now) < QUARANTINE_DURATION);
+        let quarantined = self.suspects.iter().filter(|(request, record)| {
+            self.is_quarantined(request) && record.age(now) < QUARANTINE_DURATION
+        });
         (suspected.count(), quarantined.count())
     }
 
@@ -245,15 +264,15 @@
             self.make_room(now);
         }
         let recent = self.recent_responses(&suspect.fingerprint, now);
+        let was_quarantined = self.is_quarantined(&suspect.fingerprint);
         let record = self.suspects.entry(suspect.fingerprint).or_default();
-        let was_quarantined = record.is_quarantined();
         let is_merged = record.merge(suspect, now);
         let is_counted = record.is_uncounted() && record.count_responses(self.reporter, recent);
         let is_cleared = record.clear_if_proved();
         if is_merged || is_counted || is_cleared {
             self.digest = None;
         }
-        record.is_quarantined() && !was_quarantined
+        self.is_quarantined(&suspect.fingerprint) && !was_quarantined
     }
 
     /// Returns the number of responses to a request within [`RESPONSE_MEMORY`].
@@ -273,7 +292,7 @@
             return;
         }
         let suspects = self.suspects.iter().enumerate();
-        let oldest = suspects.max_by_key(|(_, (_, r))| (!r.is_quarantined(), r.age(now)));
+        let oldest = suspects.max_by_key(|(_, (_, r))| (!r.is_quarantined(|_| false), r.age(now)));
         if let Some(index) = oldest.map(|(index, _)| index) {
             self.suspects.swap_remove_index(index);
         }
--- a/crates/state/src/quarantine/record.rs
+++ b/crates/state/src/quarantine/record.rs
@@ -18,7 +18,7 @@
     crashes: IndexMap<CrashKey, CrashState>,
     /// Number of times that responses have cleared the request.
     generation: u32,
-    /// Responses of this generation by daemon, rounded down to powers of two.
+    /// Responses of this generation by daemon.
     responses: IndexMap<quarantine::ReporterId, u32>,
     /// Responses of this generation that the own daemon got; `None` before they are counted.
     own_responses: Option<u32>,
@@ -28,7 +28,8 @@
     last_trial: Option<time::Instant>,
 }
 
-type CrashKey = (net::SocketAddr, ids::Incarnation);
+/// Start of an upstream that crashed.
+pub(super) type CrashKey = (net::SocketAddr, ids::Incarnation);
 
 #[derive(Debug, Clone, Copy)]
 struct CrashState {
@@ -36,12 +37,9 @@
     is_cleared: bool,
 }
 
-/// Maximum number of crashes held of one request.
-const CRASHES_MAX: usize = 8;
-/// Maximum number of responses counted of one daemon: enough to clear the request alone.
-const OWN_RESPONSES_MAX: u32 = CRASHES_MAX as u32 * quarantine::RESPONSES_PER_CRASH;
-/// Maximum number of daemons whose responses are held, those with the most first.
-const REPORTERS_MAX: usize = 32;
+/// Number of responses up to which every single one is told to other daemons; a larger number is
+/// rounded down to a power of two.
+const EXACT_RESPONSES_MAX: u32 = 8;
 /// Number of messages in which each daemon sends a changed record, enough for an epidemic to reach
 /// every daemon; daemons that it misses are found by their digest.
 const SENDS: u32 = 8;
@@ -49,16 +47,36 @@
 impl Record {
     /// Returns whether there are crashes of which the request is not cleared.
     pub(super) fn is_suspected(&self) -> bool {
-        self.suspicious_crashes() > 0
+        self.suspicious_crashes().next().is_some()
     }
 
-    /// Returns whether enough upstreams have crashed under the request for a quarantine.
-    pub(super) fn is_quarantined(&self) -> bool {
-        self.suspicious_crashes() >= quarantine::CRASHES_MIN
+    /// Returns whether upstreams have crashed under the request and none has responded to it.
+    pub(super) fn is_fatal(&self) -> bool {
+        self.responses.is_empty() && self.suspicious_crashes().count() >= quarantine::CRASHES_MIN
     }
 
-    fn suspicious_crashes(&self) -> usize {
-        self.crashes.values().filter(|crash| !crash.is_cleared).count()
+    /// Returns whether so many upstreams have crashed under the request, and so few have responded to
+    /// it, that it is quarantined. Crashes of which `is_explained` holds do not count.
+    pub(super) fn is_quarantined(&self, is_explained: impl Fn(&CrashKey) -> bool) -> bool {
+        if self.suspicious_crashes().count() < quarantine::CRASHES_MIN {
+            return false;
+        }
+        let crashes = self.suspicious_crashes().filter(|crash| !is_explained(crash)).count();
+        crashes >= quarantine::CRASHES_MIN
+            && self.responses() < crashes as u32 * quarantine::RESPONSES_PER_CRASH
+    }
+
+    /// Returns whether the request was running at a crash.
+    pub(super) fn has_crash(&self, crash: &CrashKey) -> bool {
+        self.crashes.contains_key(crash)
+    }
+
+    fn responses(&self) -> u32 {
+        self.responses.values().sum()
+    }
+
+    fn suspicious_crashes(&self) -> impl Iterator<Item = &CrashKey> {
+        self.crashes.iter().filter(|(_, crash)| !crash.is_cleared).map(|(key, _)| key)
     }
 
     /// Returns the time since the latest crash.
@@ -67,12 +85,9 @@
         latest.map_or(time::Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// Returns whether a copy may be sent to an upstream. After the quarantine, this counts as a
-    /// trial, and the next copy has to wait.
-    pub(super) fn admit(&mut self, now: time::Instant) -> bool {
-        if !self.is_quarantined() {
-            return true;
-        }
+    /// Returns whether a copy of a quarantined request may be sent to an upstream. After the
+    /// quarantine, this counts as a trial, and the next copy has to wait.
+    pub(super) fn admit_trial(&mut self, now: time::Instant) -> bool {
         let is_over = self.age(now) >= quarantine::QUARANTINE_DURATION;
         let on_trial = self
             .last_trial
@@ -91,12 +106,14 @@
             self.start_generation(suspect.generation);
             is_changed = true;
         }
-        for crash in suspect.crashes.iter().take(CRASHES_MAX) {
+        for crash in suspect.crashes.iter().take(quarantine::CRASHES_MAX) {
             let age = time::Duration::from_millis(crash.age_ms);
             is_changed |= self.merge_crash(crash, now.checked_sub(age).unwrap_or(now));
         }
         if suspect.generation == self.generation {
-            for responses in suspect.responses.iter().take(REPORTERS_MAX) {
+            // More are never held, as so many clear the request.
+            for responses in suspect.responses.iter().take(quarantine::CLEARING_RESPONSES as usize)
+            {
                 is_changed |= self.merge_responses(*responses);
             }
         }
@@ -114,11 +131,10 @@
 
     /// Counts responses that the own daemon got. Returns whether other daemons are told.
     pub(super) fn count_responses(&mut self, reporter: quarantine::ReporterId, count: u32) -> bool {
-        let own = self.own_responses.unwrap_or(0).saturating_add(count).min(OWN_RESPONSES_MAX);
+        let own = self.own_responses.unwrap_or(0).saturating_add(count);
         self.own_responses = Some(own);
-        let Some(exponent) = own.checked_ilog2() else { return false };
-        let rounded = quarantine::ResponseCount { reporter, count: 1 << exponent };
-        let is_changed = self.merge_responses(rounded);
+        let count = if own <= EXACT_RESPONSES_MAX { own } else { 1 << own.ilog2() };
+        let is_changed = self.merge_responses(quarantine::ResponseCount { reporter, count });
         if is_changed {
             self.sends_left = SENDS;
         }
@@ -128,9 +144,7 @@
     /// Clears the request of all crashes known so far if there were enough responses. Returns
     /// whether it did.
     pub(super) fn clear_if_proved(&mut self) -> bool {
-        let crashes = self.suspicious_crashes() as u32;
-        let responses: u32 = self.responses.values().sum();
-        if crashes == 0 || responses < crashes * quarantine::RESPONSES_PER_CRASH {
+        if !self.is_suspected() || self.responses() < quarantine::CLEARING_RESPONSES {
             return false;
         }
         self.crashes.values_mut().for_each(|crash| crash.is_cleared = true);
@@ -153,7 +167,7 @@
             known.at = known.at.min(at);
             return crash.is_cleared && !std::mem::replace(&mut known.is_cleared, true);
         }
-        if self.crashes.len() >= CRASHES_MAX {
+        if self.crashes.len() >= quarantine::CRASHES_MAX {
             let oldest = self.crashes.iter().min_by_key(|(_, state)| state.at);
             let Some((oldest, _)) = oldest.filter(|(_, state)| state.at < at) else { return false };
             let oldest = *oldest;
@@ -165,19 +179,12 @@
 
     /// Raises the count of one daemon. Returns whether this changes anything.
     fn merge_responses(&mut self, received: quarantine::ResponseCount) -> bool {
-        let count = received.count.min(OWN_RESPONSES_MAX);
+        let count = received.count.min(quarantine::CLEARING_RESPONSES);
         let known = self.responses.get(&received.reporter).copied().unwrap_or(0);
-        if count <= known {
-            return false;
-        }
-        self.responses.insert(received.reporter, count);
-        if self.responses.len() <= REPORTERS_MAX {
-            return true;
+        if count > known {
+            self.responses.insert(received.reporter, count);
         }
-        let least = self.responses.iter().min_by_key(|(reporter, count)| (**count, **reporter));
-        let Some(least) = least.map(|(reporter, _)| *reporter) else { return true };
-        self.responses.swap_remove(&least);
-        least != received.reporter
+        count > known
     }
 
     /// Returns the number of messages in which the record is still to be sent.
