Play a request that crashes half of its runs in the soak

Cause: the soak's crashing request crashed in every run, also at a server that fails requests, so that it never got a response, and the fault of the incident could not show.

Change: for odd seeds it crashes half of its runs.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -25,6 +25,8 @@
     nodes: Vec<Node>,
     /// Crashed backend servers, kept because their runs still count.
     crashed: Vec<backend::Backend>,
+    /// Behaviour of a backend server without faults.
+    healthy: backend::Behaviour,
     edits: u64,
     /// Violations found while faults were injected.
     violations: Vec<String>,
@@ -109,7 +111,9 @@
             let node = Node::start(plan, settings_file, index, log.address, &peers, ports).await;
             nodes.push(node.map_err(|error| format!("cannot start daemon {index}: {error}"))?);
         }
-        let fleet = Self { log, nodes, crashed: Vec::new(), edits: 0, violations: Vec::new() };
+        let (crashed, violations) = (Vec::new(), Vec::new());
+        let healthy = healthy_behaviour(plan.seed);
+        let fleet = Self { log, nodes, crashed, healthy, edits: 0, violations };
         for node in &fleet.nodes {
             node.backend.keep_announcing(node.process.ports.local);
         }
@@ -231,7 +235,7 @@
             LogDown | LogLosesResponses | LogSlow => self.log.set_faults(Default::default()),
             BackendErrors | BackendHang | BackendTruncation => {
                 let node = &mut self.nodes[fault.daemon];
-                node.backend.reconfigure(|behaviour| *behaviour = healthy_behaviour());
+                node.backend.reconfigure(|behaviour| *behaviour = self.healthy.clone());
                 node.is_limited = false;
             }
             BackendLimit => self.end_limit(fault),
@@ -286,9 +290,9 @@
         node.is_limited = false;
         node.backend.crash();
         let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let healthy = self.healthy.clone();
         let replacement =
-            backend::Backend::start_at(SERVICE, healthy_behaviour(), any_port, node.incarnation)
-                .await;
+            backend::Backend::start_at(SERVICE, healthy, any_port, node.incarnation).await;
         replacement.keep_announcing(node.process.ports.local);
         self.crashed.push(std::mem::replace(&mut node.backend, replacement));
     }
@@ -372,7 +376,7 @@
         let log_file = plan.logs.as_ref().map(|dir| dir.join(format!("{}-{index}.log", plan.seed)));
         let process =
             process::Process::start(&plan.daemon, settings_file, &settings, ports, log_file)?;
-        let backend = backend::Backend::start(SERVICE, healthy_behaviour()).await;
+        let backend = backend::Backend::start(SERVICE, healthy_behaviour(plan.seed)).await;
         Ok(Self {
             process,
             backend,
@@ -388,10 +392,12 @@
     }
 }
 
-/// Returns the behaviour of a backend server without faults.
-fn healthy_behaviour() -> backend::Behaviour {
+/// Returns the behaviour of a backend server without faults. The crashing request crashes every run
+/// for an even seed, half of the runs for an odd one.
+fn healthy_behaviour(seed: u64) -> backend::Behaviour {
     let trigger = crashing_backend::Trigger::Path(CRASHING_PATH);
-    let crash_on = Some(crashing_backend::CrashingRequests::new(trigger, 1.0));
+    let crash_rate = if seed.is_multiple_of(2) { 1.0 } else { 0.5 };
+    let crash_on = Some(crashing_backend::CrashingRequests::new(trigger, crash_rate));
     backend::Behaviour { service_time: SERVICE_TIME, crash_on, ..backend::Behaviour::default() }
 }
 
