--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -112,10 +112,9 @@
         }
         let policy = self.shared.policy();
         let now = self.shared.now();
-        let limited = demands
-            .iter()
-            .take(rate_limit::DEMANDS_MAX)
-            .filter_map(|demand| policy.rate(&demand.organisation).map(|limit| (demand, limit)));
+        let limited = demands.iter().take(rate_limit::DEMANDS_MAX).filter_map(|demand| {
+            policy.quota(&demand.organisation).map(|quota| (demand, quota.rate))
+        });
         let mut allocator = self.shared.allocator();
         let shares =
             limited.map(|(demand, limit)| allocator.allocate(&sender.daemon, demand, limit, now));
--- a/crates/coordination/src/rate_limit_reporter.rs
+++ b/crates/coordination/src/rate_limit_reporter.rs
@@ -71,9 +71,9 @@
     fn allocate(&self, demands: &[rate_limit::Demand]) -> Vec<rate_limit::Share> {
         let (policy, now) = (self.shared.policy(), self.shared.now());
         let own = self.shared.membership().own_record().daemon.clone();
-        let limited = demands
-            .iter()
-            .filter_map(|demand| policy.rate(&demand.organisation).map(|limit| (demand, limit)));
+        let limited = demands.iter().filter_map(|demand| {
+            policy.quota(&demand.organisation).map(|quota| (demand, quota.rate))
+        });
         let mut allocator = self.shared.allocator();
         limited.map(|(demand, limit)| allocator.allocate(&own, demand, limit, now)).collect()
     }
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -43,6 +43,9 @@
     /// Time left to meet the response-time objective, zero once it is missed; `None` if the route
     /// has no objective.
     pub objective: Option<time::Duration>,
+    /// Whether the request is a call of a request that is running at a backend server, as far as the
+    /// ingress knows.
+    pub is_call: bool,
 }
 
 /// Error for a header that is missing or cannot be parsed.
@@ -76,6 +79,7 @@
     ///     risk: Default::default(),
     ///     rank: 0,
     ///     objective: None,
+    ///     is_call: false,
     /// };
     /// let mut headers = http::HeaderMap::new();
     /// envelope.write(&mut headers);
@@ -103,6 +107,9 @@
         if let Some(objective) = self.objective {
             put(headers, header::OBJECTIVE_US, &objective.as_micros().to_string());
         }
+        if self.is_call {
+            put(headers, header::CALL, "true");
+        }
     }
 
     /// Reads an envelope from a request's headers.
@@ -126,6 +133,7 @@
             risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
             objective: single(headers, header::OBJECTIVE_US).map(time::Duration::from_micros),
+            is_call: headers.contains_key(header::CALL),
         })
     }
 }
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -45,6 +45,9 @@
 pub const RANK: &str = "lynxmast-rank";
 /// Ingress to sidecar: microseconds left until the route's response-time objective is missed.
 pub const OBJECTIVE_US: &str = "lynxmast-objective-us";
+/// Ingress to sidecar: present if the request is a call of a request that is running at a backend
+/// server.
+pub const CALL: &str = "lynxmast-call";
 
 /// Sidecar to ingress: failure probability of the upstream in percent.
 pub const FAILURE_PERCENT: &str = "lynxmast-doubt";
--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -30,6 +30,11 @@
     /// Service on whose VM a request originated; set by the ingress, which replaces any value that
     /// the caller sent.
     pub caller_service: Option<HeaderName>,
+    /// Key of the caller's organisation; set by callers and never forwarded.
+    pub key: HeaderName,
+    /// Name of the caller's organisation; set by the ingress, which replaces any value that the
+    /// caller sent. `None` if backend servers are not told.
+    pub organisation: Option<HeaderName>,
     /// Marks a backend server's response to a request that it has not run.
     pub not_run: Option<HeaderName>,
     /// Requests per second that a backend server accepts from the whole fleet, in each of its
@@ -79,6 +84,8 @@
             forward_id: false,
             instance: None,
             caller_service: None,
+            key: HeaderName::from_static(header::ORGANISATION_KEY),
+            organisation: None,
             not_run: None,
             limit: HeaderName::from_static(header::LIMIT),
             leaving: HeaderName::from_static(header::LEAVING),
@@ -120,6 +127,32 @@
         }
     }
 
+    /// Removes the key of the caller's organisation and sets the header that names the organisation,
+    /// or removes that too if `name` is `None`. Only for policies with organisations: in others, the
+    /// headers belong to the callers.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_protocol::header_scheme;
+    /// let name = http::HeaderName::from_static("x-organisation");
+    /// let scheme = header_scheme::HeaderScheme { organisation: Some(name), ..Default::default() };
+    /// let mut headers = http::HeaderMap::new();
+    /// headers.insert("lynxmast-key", "secret".parse().unwrap());
+    /// headers.append("x-organisation", "forged".parse().unwrap());
+    /// scheme.write_organisation(&mut headers, Some("mailers"));
+    /// assert_eq!(headers.len(), 1);
+    /// assert_eq!(headers["x-organisation"], "mailers");
+    /// ```
+    pub fn write_organisation(&self, headers: &mut HeaderMap, name: Option<&str>) {
+        headers.remove(&self.key);
+        let Some(organisation) = &self.organisation else { return };
+        headers.remove(organisation);
+        if let Some(name) = name.and_then(|name| HeaderValue::from_str(name).ok()) {
+            headers.insert(organisation, name);
+        }
+    }
+
     /// Formats a duration in seconds for `retry-after`, rounded up to whole seconds unless callers
     /// accept fractions.
     ///
--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -14,6 +14,7 @@
 use crate::policy::organisation;
 use crate::policy::route;
 use crate::policy::service;
+use crate::quota;
 
 /// Immutable, indexed form of one version of the policy document.
 #[derive(Debug, Default)]
@@ -60,8 +61,17 @@
     pub service: sync::Arc<service::Service>,
     /// Organisation under which the request is counted.
     pub organisation: ids::OrganisationName,
-    /// Fleet-wide rate limit of the organisation, in requests per second; `None` for no limit.
-    pub rate: Option<f64>,
+    /// Rank of the request: that of the organisation or, if it has none, that of the route.
+    pub rank: u32,
+    /// Fleet-wide quota of the organisation; `None` for no limit.
+    pub quota: Option<quota::Limit>,
+}
+
+impl RouteMatch {
+    /// Returns whether the request was authenticated by the key of an organisation.
+    pub fn has_organisation(&self) -> bool {
+        &*self.organisation != organisation::PUBLIC
+    }
 }
 
 impl CompiledPolicy {
@@ -84,7 +94,9 @@
             for organisation in &section.organisation {
                 let organisation = organisation.clone();
                 let indexed = sync::Arc::new(TeamOrganisation { team: team.clone(), organisation });
-                compiled.by_key.insert(indexed.organisation.key_hash.clone(), indexed.clone());
+                for hash in indexed.organisation.hashes() {
+                    compiled.by_key.insert(hash.clone(), indexed.clone());
+                }
                 compiled.by_name.insert(indexed.organisation.name.clone(), indexed);
             }
         }
@@ -113,10 +125,16 @@
         self.by_name.get(organisation).map_or(1, |found| found.organisation.weight)
     }
 
-    /// Returns the fleet-wide rate limit of an organisation, in requests per second; `None` if it
-    /// has no limit or is not in the policy.
-    pub fn rate(&self, organisation: &str) -> Option<f64> {
-        self.by_name.get(organisation).and_then(|found| found.organisation.rate)
+    /// Returns the fleet-wide quota of an organisation; `None` if it has no limit or is not in the
+    /// policy.
+    pub fn quota(&self, organisation: &str) -> Option<quota::Limit> {
+        self.by_name.get(organisation).and_then(|found| found.organisation.quota())
+    }
+
+    /// Returns whether the policy has organisations. Without any, the header of the key has no
+    /// meaning.
+    pub fn has_organisations(&self) -> bool {
+        !self.by_name.is_empty()
     }
 
     /// Returns the route of a request, whatever its organisation; `None` if no route matches. `host`
@@ -149,28 +167,35 @@
         let matching = routes.iter().find(|candidate| candidate.route.matches(path, method));
         let matching = matching.ok_or(outcome::Rejection::NoRoute)?;
         let service = matching.select_service().ok_or(outcome::Rejection::NoRoute)?;
-        let (organisation, rate) = match key {
-            Some(key) => self.authenticate(key, &matching.team)?,
-            None if matching.route.public => (organisation::PUBLIC.into(), None),
+        let route = matching.route.clone();
+        let organisation = match key {
+            Some(key) => match self.authenticate(key, &matching.team) {
+                Err(_) if route.public && route.any_key => None,
+                authenticated => Some(authenticated?),
+            },
+            None if route.public => None,
             None => return Err(outcome::Rejection::UnknownKey),
         };
-        let route = matching.route.clone();
-        Ok(RouteMatch { route, service, organisation, rate })
+        let rank = organisation.and_then(|found| found.rank).unwrap_or(route.rank);
+        let quota = organisation.and_then(organisation::Organisation::quota);
+        let name =
+            organisation.map_or_else(|| organisation::PUBLIC.into(), |found| found.name.clone());
+        Ok(RouteMatch { route, service, organisation: name, rank, quota })
     }
 
-    /// Returns the name and the rate limit of the organisation whose key is `key`. Rejects an
-    /// unknown key and an organisation of another team than `team`.
+    /// Returns the organisation whose key is `key`. Rejects an unknown key and an organisation of
+    /// another team than `team`.
     fn authenticate(
         &self,
         key: &str,
         team: &ids::TeamName,
-    ) -> Result<(ids::OrganisationName, Option<f64>), outcome::Rejection> {
+    ) -> Result<&organisation::Organisation, outcome::Rejection> {
         let found = self.by_key.get(&organisation::hash_key(key));
         let found = found.ok_or(outcome::Rejection::UnknownKey)?;
         if found.team != *team {
             return Err(outcome::Rejection::Forbidden);
         }
-        Ok((found.organisation.name.clone(), found.organisation.rate))
+        Ok(&found.organisation)
     }
 }
 
--- a/crates/state/src/policy/document.rs
+++ b/crates/state/src/policy/document.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::ids;
+use crate::policy::organisation;
 use crate::policy::section;
 use crate::validation;
 
@@ -59,12 +60,21 @@
     /// Names of services, names of organisations and key hashes must be unique in the document, and
     /// a host belongs to one team. The team's current section is ignored, as `section` replaces it.
     pub fn name_conflicts(&self, section: &section::Section) -> Vec<validation::Problem> {
-        let others = self.sections.values().filter(|s| s.team != section.team);
+        self.claimed_by_others(section).conflicts(section)
+    }
+
+    /// Returns those of [`name_conflicts`](Self::name_conflicts) that concern organisations and their
+    /// keys.
+    pub fn organisation_conflicts(&self, section: &section::Section) -> Vec<validation::Problem> {
+        self.claimed_by_others(section).organisation_conflicts(section).problems
+    }
+
+    fn claimed_by_others(&self, section: &section::Section) -> ClaimedNames<'_> {
         let mut claimed = ClaimedNames::default();
-        for other in others {
+        for other in self.sections.values().filter(|other| other.team != section.team) {
             claimed.add(other);
         }
-        claimed.conflicts(section)
+        claimed
     }
 }
 
@@ -82,17 +92,24 @@
         let team = &*section.team;
         self.services.extend(section.service.iter().map(|s| (&*s.name, team)));
         self.organisations.extend(section.organisation.iter().map(|o| (&*o.name, team)));
-        self.key_hashes.extend(section.organisation.iter().map(|o| (o.key_hash.as_str(), team)));
+        let hashes = section.organisation.iter().flat_map(organisation::Organisation::hashes);
+        self.key_hashes.extend(hashes.map(|hash| (hash.as_str(), team)));
         self.hosts.extend(section.route.iter().map(|r| (r.host.as_str(), team)));
     }
 
-    fn conflicts(&self, section: &section::Section) -> Vec<validation::Problem> {
+    fn organisation_conflicts(&self, section: &section::Section) -> Conflicts {
         let mut found = Conflicts::default();
-        found.check("service", "name", &self.services, section.service.iter().map(|s| &*s.name));
         let names = section.organisation.iter().map(|o| &*o.name);
         found.check("organisation", "name", &self.organisations, names);
-        let hashes = section.organisation.iter().map(|o| o.key_hash.as_str());
+        let hashes = section.organisation.iter().flat_map(organisation::Organisation::hashes);
+        let hashes = hashes.map(String::as_str);
         found.check("organisation", "key-hash", &self.key_hashes, hashes);
+        found
+    }
+
+    fn conflicts(&self, section: &section::Section) -> Vec<validation::Problem> {
+        let mut found = self.organisation_conflicts(section);
+        found.check("service", "name", &self.services, section.service.iter().map(|s| &*s.name));
         let own_hosts = section.route.iter().map(|r| r.host.as_str());
         let hosts: collections::BTreeSet<&str> = own_hosts.collect();
         found.check("route", "host", &self.hosts, hosts.into_iter());
--- a/crates/state/src/policy/organisation.rs
+++ b/crates/state/src/policy/organisation.rs
@@ -1,8 +1,9 @@
-//! Policy of an organisation: key, weight and rate limit.
+//! Policy of an organisation: keys, weight, rank and quota.
 
 use sha2::Digest;
 
 use crate::ids;
+use crate::quota;
 use crate::validation;
 
 value! {
@@ -11,24 +12,43 @@
     pub struct Organisation {
         /// Name, unique in the policy document.
         pub name: ids::OrganisationName,
-        /// SHA-256 of the organisation's key, in hexadecimal.
+        /// SHA-256 of the organisation's key, in hexadecimal; empty if `key_hashes` is set.
         pub key_hash: String,
+        /// SHA-256 of each of the organisation's keys, in hexadecimal, in addition to `key_hash`. An
+        /// organisation without any key cannot send requests.
+        pub key_hashes: Vec<String>,
         /// Weight in fair queueing: the share of a busy service's slots relative to the other
         /// organisations.
         pub weight: u32,
+        /// Rank of all requests of the organisation, which takes precedence over the rank of the
+        /// route; 0 is the highest priority. `None` for the rank of the route.
+        pub rank: Option<u32>,
         /// Fleet-wide rate limit in requests per second; `None` for no limit.
         pub rate: Option<f64>,
+        /// Requests that the organisation may send at once in addition to `rate`, in the whole
+        /// fleet; `None` for those of [`BURST_DEFAULT_S`]. Has no effect without `rate`.
+        pub burst: Option<f64>,
     }
 }
 
 impl Default for Organisation {
     fn default() -> Self {
-        Self { name: "".into(), key_hash: String::new(), weight: 1, rate: None }
+        Self {
+            name: "".into(),
+            key_hash: String::new(),
+            key_hashes: Vec::new(),
+            weight: 1,
+            rank: None,
+            rate: None,
+            burst: None,
+        }
     }
 }
 
 /// Organisation name under which requests without a key are counted.
 pub const PUBLIC: &str = "public";
+/// Default of `burst`, in seconds at `rate`.
+pub const BURST_DEFAULT_S: f64 = 1.0;
 const WEIGHT_MAX: u32 = 1000;
 const HASH_LENGTH: usize = 64;
 
@@ -46,14 +66,11 @@
             "name",
             format!("'{PUBLIC}' is reserved for callers without a key"),
         );
-        let hash = &self.key_hash;
-        let is_hash = hash.len() == HASH_LENGTH
-            && hash.chars().all(|c| c.is_ascii_digit() || ('a'..='f').contains(&c));
-        require(
-            is_hash,
-            "key-hash",
-            "is not a SHA-256 hash in 64 lower-case hexadecimal digits".into(),
-        );
+        let not_a_hash = "is not a SHA-256 hash in 64 lower-case hexadecimal digits";
+        let has_list = !self.key_hashes.is_empty();
+        let is_valid = is_hash(&self.key_hash) || (self.key_hash.is_empty() && has_list);
+        require(is_valid, "key-hash", not_a_hash.into());
+        require(self.key_hashes.iter().all(|hash| is_hash(hash)), "key-hashes", not_a_hash.into());
         let weight_ok = (1..=WEIGHT_MAX).contains(&self.weight);
         require(
             weight_ok,
@@ -62,7 +79,38 @@
         );
         let rate_ok = self.rate.is_none_or(|r| r > 0.0 && r.is_finite());
         require(rate_ok, "rate", "is not a positive number of requests per second".into());
+        let burst_ok = self.burst.is_none_or(|b| b >= 1.0 && b.is_finite());
+        require(burst_ok, "burst", "is not a number of requests of at least 1".into());
+        let has_rate = self.burst.is_none() || self.rate.is_some();
+        require(has_rate, "burst", "has no effect without 'rate'".into());
+    }
+
+    /// Returns the hashes of all keys of the organisation.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::policy::organisation;
+    /// let key_hashes = vec![organisation::hash_key("a"), organisation::hash_key("b")];
+    /// let organisation = organisation::Organisation { key_hashes, ..Default::default() };
+    /// assert_eq!(organisation.hashes().count(), 2);
+    /// ```
+    pub fn hashes(&self) -> impl Iterator<Item = &String> {
+        let single = Some(&self.key_hash).filter(|hash| !hash.is_empty());
+        single.into_iter().chain(&self.key_hashes)
     }
+
+    /// Returns the fleet-wide quota of the organisation; `None` without a limit.
+    pub fn quota(&self) -> Option<quota::Limit> {
+        let rate = self.rate?;
+        let burst = self.burst.unwrap_or((rate * BURST_DEFAULT_S).max(1.0));
+        Some(quota::Limit { rate, burst })
+    }
+}
+
+fn is_hash(text: &str) -> bool {
+    let is_digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    text.len() == HASH_LENGTH && text.chars().all(is_digit)
 }
 
 /// Returns the hash of an organisation's key in the form that the policy document stores.
--- a/crates/state/src/policy/route.rs
+++ b/crates/state/src/policy/route.rs
@@ -44,6 +44,9 @@
         pub attempts: u32,
         /// Whether callers without a key of an organisation may use the route.
         pub public: bool,
+        /// Whether a public route also accepts a key that is unknown or belongs to an organisation of
+        /// another team; such a request counts as one without a key.
+        pub any_key: bool,
     }
 }
 
@@ -61,6 +64,7 @@
             rank: 0,
             attempts: retry::ATTEMPTS_MAX,
             public: true,
+            any_key: false,
         }
     }
 }
@@ -90,6 +94,11 @@
         require(is_upper, "methods", "must be in upper case");
         let in_range = (DEADLINE_MIN..=DEADLINE_MAX).contains(&self.deadline);
         require(in_range, "deadline", "is not in the range 1ms to 24h");
+        require(
+            self.public || !self.any_key,
+            "any-key",
+            "has no effect on a route that is not public",
+        );
     }
 
     /// Returns the services of the route with their weights; a single service has weight 1.
--- a/crates/state/src/priority.rs
+++ b/crates/state/src/priority.rs
@@ -16,8 +16,12 @@
 ///
 /// let now = Instant::now();
 /// let mean = Duration::from_millis(200);
-/// let on_time = priority::Priority { rank: 2, objective: Some(now + Duration::from_millis(500)) };
-/// let late = priority::Priority { rank: 0, objective: Some(now) };
+/// let on_time = priority::Priority {
+///     rank: 2,
+///     objective: Some(now + Duration::from_millis(500)),
+///     is_call: false,
+/// };
+/// let late = priority::Priority { rank: 0, objective: Some(now), is_call: false };
 /// assert!(on_time.order(mean, now) < late.order(mean, now));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -26,6 +30,9 @@
     pub rank: u32,
     /// Time by which the response should arrive; `None` if its value does not depend on time.
     pub objective: Option<time::Instant>,
+    /// Whether the request is a call of a request that is running: rejecting it wastes the work of
+    /// that one.
+    pub is_call: bool,
 }
 
 /// Service order of a request; the smallest is served first.
--- a/crates/state/src/priority/tests.rs
+++ b/crates/state/src/priority/tests.rs
@@ -26,7 +26,11 @@
             organisation: "public".into(),
             weight: 1,
             deadline: now + DEADLINE,
-            priority: Priority { rank: rank as u32, objective: Some(now + OBJECTIVE) },
+            priority: Priority {
+                rank: rank as u32,
+                objective: Some(now + OBJECTIVE),
+                is_call: false,
+            },
             risk: Default::default(),
         };
         if let admission::Decision::Admit((rank, arrived), class) =
@@ -116,7 +120,7 @@
         now = start + time::Duration::from_secs_f64(number as f64 / rate);
         finish(&mut admission, &mut running, now, &mut on_time);
         arrival.deadline = now + DEADLINE;
-        arrival.priority = Priority { rank: 0, objective: Some(now + OBJECTIVE) };
+        arrival.priority = Priority { rank: 0, objective: Some(now + OBJECTIVE), is_call: false };
         if let admission::Decision::Admit(item, class) = admission.admit(&arrival, (0, now), now) {
             running.push((now + MEAN, class, 0, item.1));
         }
@@ -124,7 +128,7 @@
     // Fills the slots, so that the last request cannot start at once.
     while let admission::Decision::Admit(..) = admission.admit(&arrival, (0, now), now) {}
     let objective = if late { now } else { now + OBJECTIVE };
-    arrival.priority = Priority { rank: 1, objective: Some(objective) };
+    arrival.priority = Priority { rank: 1, objective: Some(objective), is_call: false };
     (admission.admit(&arrival, (1, now), now), now)
 }
 
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -73,6 +73,8 @@
     pub use_avoided: bool,
     /// Declared size of the request body in bytes; 0 if it is unknown.
     pub body_size: u64,
+    /// Expected size of the response body in bytes; 0 if it is unknown.
+    pub response_size: u64,
     /// Upstreams that earlier attempts of the request have used.
     pub tried: &'a [net::SocketAddr],
     /// Time of the selection.
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -42,6 +42,7 @@
         may_probe: true,
         use_avoided: true,
         body_size: 0,
+        response_size: 0,
         tried: &[],
         now,
     }
--- a/crates/state/src/slot_usage.rs
+++ b/crates/state/src/slot_usage.rs
@@ -19,7 +19,7 @@
 /// use std::time::{Duration, Instant};
 ///
 /// let (start, mean) = (Instant::now(), Duration::from_millis(500));
-/// let order = |rank| priority::Priority { rank, objective: None }.order(mean, start);
+/// let order = |rank| priority::Priority { rank, objective: None, is_call: false }.order(mean, start);
 /// let mut usage = slot_usage::SlotUsage::default();
 /// // Four requests per second of half a second each fill two slots.
 /// for number in 0..40 {
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -226,11 +226,12 @@
     ) -> Result<RequestContext, outcome::Rejection> {
         let (mut head, incoming) = request.into_parts();
         let scheme = &self.identity.header_scheme;
-        let parsed = head::RequestHead::parse(&head, scheme)?;
         if !self.shared.is_current() {
             return Err(outcome::Rejection::NoPolicy);
         }
         let policy = self.shared.policy();
+        let has_organisations = policy.has_organisations();
+        let parsed = head::RequestHead::parse(&head, scheme, has_organisations)?;
         let key = parsed.key.as_deref();
         let route_match =
             policy.match_request(&parsed.host, &parsed.path, head.method.as_str(), key)?;
@@ -247,6 +248,10 @@
         scheme.sanitise(&mut head.headers, &self.identity.service);
         hop::strip_internal_headers(&mut head.headers);
         hop::strip_hop_by_hop_headers(&mut head.headers);
+        if has_organisations {
+            let name = route_match.has_organisation().then_some(&*route_match.organisation);
+            scheme.write_organisation(&mut head.headers, name);
+        }
         head::normalise(&mut head, &parsed);
         let head_hash = self.fingerprint_key.hash_head(&fingerprint::Head {
             method: head.method.as_str(),
@@ -312,9 +317,10 @@
         route_match: &compiled::RouteMatch,
         now: time::Instant,
     ) -> Result<(), outcome::Rejection> {
-        let Some(limit) = route_match.rate else { return Ok(()) };
+        let Some(quota) = route_match.quota else { return Ok(()) };
         let daemons = self.shared.membership().live_records(now).count();
-        let admitted = self.shared.limiter().admit(&route_match.organisation, limit, daemons, now);
+        let admitted =
+            self.shared.limiter().admit(&route_match.organisation, quota.rate, daemons, now);
         admitted.then_some(()).ok_or(outcome::Rejection::RateLimited)
     }
 
@@ -436,6 +442,7 @@
             may_probe: context.has_attempt_after_next(progress) && self.may_probe(context),
             use_avoided: progress.found_unavailable(),
             body_size: context.body_size,
+            response_size: 0,
             tried: &tried,
             now: self.shared.now(),
         };
@@ -483,8 +490,9 @@
 impl<C: clock::Clock> server::EarlyHandler for Ingress<C> {
     fn starts_early(&self, head: &request::Parts) -> bool {
         let scheme = &self.identity.header_scheme;
-        let Ok(parsed) = head::RequestHead::parse(head, scheme) else { return false };
         let policy = self.shared.policy();
+        let parsed = head::RequestHead::parse(head, scheme, policy.has_organisations());
+        let Ok(parsed) = parsed else { return false };
         let route = policy.find_route(&parsed.host, &parsed.path, head.method.as_str());
         route.is_some_and(|route| route.idempotent)
             && !head.headers.contains_key(names::IDEMPOTENCY_KEY)
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -49,8 +49,9 @@
             is_retry: options.is_retry,
             retry_probability: self.retry_probability(&context.route_match.service),
             risk: options.risk,
-            rank: context.route_match.route.rank,
+            rank: context.route_match.rank,
             objective: context.objective_remaining(started),
+            is_call: false,
         };
         let response = if outstanding.candidate.daemon == self.own_daemon {
             self.send_to_local_sidecar(context, &envelope, &mut outstanding).await
--- a/crates/transport/src/ingress/head.rs
+++ b/crates/transport/src/ingress/head.rs
@@ -5,7 +5,6 @@
 use http::header;
 use http::uri;
 use lynxmast_protocol::envelope;
-use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::outcome;
 
@@ -23,7 +22,8 @@
 }
 
 impl RequestHead {
-    /// Parses and validates a head.
+    /// Parses and validates a head. The organisation's key is read only if `reads_key` is set: in a
+    /// policy without organisations, its header belongs to the callers.
     ///
     /// # Errors
     ///
@@ -32,6 +32,7 @@
     pub fn parse(
         head: &http::request::Parts,
         scheme: &header_scheme::HeaderScheme,
+        reads_key: bool,
     ) -> Result<Self, outcome::Rejection> {
         let bad_request = outcome::Rejection::BadRequest;
         let headers = &head.headers;
@@ -43,7 +44,7 @@
         if !scheme.raw_paths && !is_plain_path(path) {
             return Err(bad_request);
         }
-        let key = single_header(headers, names::ORGANISATION_KEY)?;
+        let key = if reads_key { single_header(headers, scheme.key.as_str())? } else { None };
         let timeout = timeout(headers, scheme)?;
         Ok(Self { host: host(head)?, path: path.to_owned(), key, timeout })
     }
--- a/crates/transport/src/ingress/head/tests.rs
+++ b/crates/transport/src/ingress/head/tests.rs
@@ -10,7 +10,7 @@
         builder = builder.header(*name, *value);
     }
     let request = builder.body(()).expect("a request that the HTTP parser accepts");
-    RequestHead::parse(&request.into_parts().0, &header_scheme::HeaderScheme::default())
+    RequestHead::parse(&request.into_parts().0, &header_scheme::HeaderScheme::default(), true)
 }
 
 #[test]
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -321,7 +321,8 @@
         let weight = policy.weight(&envelope.organisation);
         let organisation = envelope.organisation.clone();
         let objective = envelope.objective.map(|remaining| now + remaining);
-        let priority = priority::Priority { rank: envelope.rank, objective };
+        let priority =
+            priority::Priority { rank: envelope.rank, objective, is_call: envelope.is_call };
         let risk = envelope.risk;
         let arrival = admission::Arrival { organisation, weight, deadline, priority, risk };
         if upstream.is_lease_expired(self.lease_duration, now) {
