Check a section or configuration against the version in force before it is sent

Cause: 'lynxmast check' accepted entries that can never match and limits that contradict each other, and did not show what an edit changes. Result: unit tests, and a property test that the daemons accept exactly the sections that pass. Not reported: rates above a service's capacity (unknown from a document); a platform's configuration is compared with files only.

--- a/crates/lynxmast/src/arguments.rs
+++ b/crates/lynxmast/src/arguments.rs
@@ -19,7 +19,9 @@
 /// Command and its options.
 #[derive(Debug, Options)]
 pub enum Command {
-    #[options(help = "validate section files of the policy document, each alone and all together")]
+    #[options(
+        help = "validate section files or a configuration before it is sent, and show what it changes"
+    )]
     Check(Check),
     #[options(help = "generate a team's key pair: writes the private key, prints the public key")]
     Key(Key),
@@ -40,8 +42,18 @@
 pub struct Check {
     #[options(help = "print this help")]
     pub help: bool,
-    #[options(free, required, help = "section files in TOML")]
+    #[options(free, required, help = "section files in TOML, or a configuration of the platform")]
     pub files: Vec<path::PathBuf>,
+    #[options(help = "the file is a whole configuration of the platform, in JSON")]
+    pub configuration: bool,
+    #[options(help = "compare with the sections in force at this daemon", meta = "ADDRESS")]
+    pub daemon: Option<net::SocketAddr>,
+    #[options(help = "compare with this file instead of a daemon", meta = "FILE")]
+    pub against: Option<path::PathBuf>,
+    #[options(help = "print JSON lines")]
+    pub json: bool,
+    #[options(no_short, help = "exit with 6 if there are warnings")]
+    pub strict: bool,
 }
 
 /// Options of `key`.
@@ -120,6 +132,7 @@
     format!(
         "Usage: lynxmast COMMAND [OPTIONS]\n\n{}\n\n{}\n\nExamples:\n  \
          lynxmast check strapline.toml kalgarra.toml\n  \
+         lynxmast check strapline.toml --daemon 127.0.0.1:7104 --strict\n  \
          lynxmast key strapline.key\n  \
          lynxmast publish strapline.toml --daemon 127.0.0.1:7104 --log 127.0.0.1:7400\n  \
          lynxmast status --daemon 127.0.0.1:7104 --json\n  \
@@ -127,7 +140,7 @@
          lynxmast timeline --only storefront *.log\n  \
          lynxmast explain b4a0d02b623ab920 *.log\n\n\
          Exit codes: 0 success, 2 invalid arguments or files, 3 no response, 4 edit rejected,\n\
-         5 not confirmed in time",
+         5 not confirmed in time, 6 warnings of 'check --strict'",
         Arguments::usage(),
         Arguments::command_list().unwrap_or_default()
     )
--- a/crates/lynxmast/src/error.rs
+++ b/crates/lynxmast/src/error.rs
@@ -11,6 +11,9 @@
 /// Exit code for an edit that was not confirmed in time.
 pub const EXIT_UNCONFIRMED: u8 = 5;
 
+/// Exit code of `check --strict` for files that are valid and have warnings.
+pub const EXIT_WARNINGS: u8 = 6;
+
 /// Error of a command.
 #[derive(Debug)]
 pub struct CliError {
--- a/crates/lynxmast/src/main.rs
+++ b/crates/lynxmast/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod arguments;
+mod check;
 mod error;
 mod explain;
 mod key;
@@ -44,7 +45,7 @@
 async fn run(command: arguments::Command) -> Result<(), error::CliError> {
     use arguments::Command;
     match command {
-        Command::Check(options) => policy::check(&options.files),
+        Command::Check(options) => check::check(&options).await,
         Command::Key(options) => key::create(&options.file),
         Command::Publish(options) => policy::publish(&options).await,
         Command::Show(options) => policy::show(&options).await,
--- a/crates/lynxmast/src/policy.rs
+++ b/crates/lynxmast/src/policy.rs
@@ -1,4 +1,4 @@
-//! `check`, `publish` and `show`: commands for the policy document.
+//! `publish` and `show`: commands for the policy document.
 
 use std::collections;
 use std::net;
@@ -11,7 +11,6 @@
 use lynxmast_coordination::platform_log::Log;
 use lynxmast_protocol::admin as api;
 use lynxmast_protocol::log;
-use lynxmast_state::policy::document;
 use lynxmast_state::policy::edit;
 use lynxmast_state::policy::section;
 
@@ -25,40 +24,6 @@
 /// Delay before an append whose response was lost is retried with the same id.
 const APPEND_RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// Validates section files, each alone and all together as one document.
-///
-/// # Errors
-///
-/// Returns all problems, one per line, each with file and line number.
-pub fn check(files: &[path::PathBuf]) -> Result<(), error::CliError> {
-    let mut problems = Vec::new();
-    let mut document = document::Document::default();
-    for file in files {
-        match read_section(file) {
-            Ok((section, _)) => {
-                let conflicts = document.name_conflicts(&section);
-                problems.extend(
-                    conflicts.iter().map(|conflict| format!("{}: {conflict}", file.display())),
-                );
-                document.sections.insert(section.team.clone(), section);
-            }
-            Err(error) => problems.push(error.message),
-        }
-    }
-    if !problems.is_empty() {
-        return Err(error::CliError::new(error::EXIT_USAGE, problems.join("\n")));
-    }
-    for (team, section) in &document.sections {
-        println!(
-            "{team}: {} services, {} routes, {} organisations: valid",
-            section.service.len(),
-            section.route.len(),
-            section.organisation.len()
-        );
-    }
-    Ok(())
-}
-
 /// Reads and validates a section file; returns the section and the text of the file.
 fn read_section(file: &path::Path) -> Result<(section::Section, String), error::CliError> {
     let name = file.display();
--- a/crates/state/src/policy/mod.rs
+++ b/crates/state/src/policy/mod.rs
@@ -1,9 +1,11 @@
 //! The policy document: one section per team, validation, the reducer that applies edits from the
 //! log, and the compiled form used on the request path.
 
+pub mod change;
 pub mod compiled;
 pub mod document;
 pub mod edit;
+pub mod finding;
 pub mod organisation;
 pub mod reducer;
 pub mod route;
--- a/crates/state/src/policy/route.rs
+++ b/crates/state/src/policy/route.rs
@@ -132,6 +132,14 @@
         method_matches && (rest.is_empty() || rest.starts_with('/') || self.path.ends_with('/'))
     }
 
+    /// Returns whether this route matches every request that `other` matches, with at least the same
+    /// precedence if it comes first.
+    pub fn covers(&self, other: &Route) -> bool {
+        let is_same_kind = self.methods.is_empty() == other.methods.is_empty();
+        let has_methods = other.methods.iter().all(|method| self.methods.contains(method));
+        self.host == other.host && self.path == other.path && is_same_kind && has_methods
+    }
+
     /// Returns whether some request matches both routes with neither taking precedence over the
     /// other.
     pub fn overlaps(&self, other: &Route) -> bool {
