Wait for a newer policy before rejecting an unknown key, and decode organisations strictly

Cause: an ingress without the newest version responded 401 to a key that had just been added; errors of the decoder quoted values and so could contain keys or hashes; a malformed or older configuration hid a valid one before it in the same page; a daemon that started beside a store restored from an older copy used the older version, with its withdrawn keys, until it had met its peers; an empty table of organisations closed all routes that are not public. Change: key_wait decides whether a request with an unknown key waits (500 ms, 64 at a time, then 503); the platform's organisations are decoded field by field, with errors that name columns and rows only; the newest valid configuration of a page is used; a daemon's policy is current once it knows two peers and none has a newer version, or after one second; an organisation may be named 'public'.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -51,6 +51,11 @@
 const REACHABLE_FOLLOWERS_MIN: usize = 2;
 /// Time between checks of whether this daemon has to follow the source.
 const ROLE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Longest time after reading the first document in which a daemon waits for contact with its peers.
+/// A daemon finds them within a few gossip rounds of 50 ms.
+const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// Time between two checks for contact with the peers.
+const CONTACT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Backoff after the first failed call; doubles with each further one up to [`BACKOFF_MAX`].
 const BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
 /// Longest backoff after a failed call. It is shorter than the time in which a configuration
@@ -143,12 +148,31 @@
                 }
             });
         }
-        if self.shared.policy().version > 0 {
-            self.shared.mark_current();
-        }
+        self.confirm_policy().await;
         Ok(())
     }
 
+    /// Marks the policy as current once enough peers are known and none has a newer version; without
+    /// them, after [`CONTACT_TIMEOUT`]. A source that was restored from an older copy may have
+    /// returned a version with keys that have been withdrawn since.
+    async fn confirm_policy(&mut self) {
+        let started = tokio::time::Instant::now();
+        while !self.shared.is_current() && self.shared.policy().version > 0 {
+            let has_waited = started.elapsed() >= CONTACT_TIMEOUT;
+            let (newest, live) = {
+                let (membership, now) = (self.shared.membership(), self.shared.now());
+                (membership.newest_policy(now), membership.live_records(now).count())
+            };
+            let is_newest = self.shared.policy().version >= newest;
+            if is_newest && (live > peer_sync::PEERS_MIN || has_waited) {
+                self.shared.mark_current();
+            } else if has_waited {
+                return;
+            }
+            tokio::time::sleep(CONTACT_CHECK_INTERVAL).await;
+        }
+    }
+
     fn record_reachability(&self, result: &Result<(), platform_log::PlatformError>) {
         let is_reachable = matches!(result, Ok(()) | Err(platform_log::PlatformError::Restored));
         let was_reachable =
--- a/crates/coordination/src/peer_sync.rs
+++ b/crates/coordination/src/peer_sync.rs
@@ -30,7 +30,7 @@
 const SAME_DOMAIN_PROBABILITY: f64 = 0.6;
 /// Number of live peers that are enough, if none has a newer version, for a daemon to consider its
 /// policy current after a start although it has not read the log or store.
-const PEERS_MIN: usize = 2;
+pub(crate) const PEERS_MIN: usize = 2;
 
 impl<C: clock::Clock> PeerSync<C> {
     /// Fetches the policy from a live daemon that has a newer version. If there is none, marks the
--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -148,7 +148,8 @@
         headers.remove(&self.key);
         let Some(organisation) = &self.organisation else { return };
         headers.remove(organisation);
-        if let Some(name) = name.and_then(|name| HeaderValue::from_str(name).ok()) {
+        // Names may contain characters outside ASCII, which headers carry as UTF-8.
+        if let Some(name) = name.and_then(|name| HeaderValue::from_bytes(name.as_bytes()).ok()) {
             headers.insert(organisation, name);
         }
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fair_queue;
 pub mod fingerprint;
 pub mod ids;
+pub mod key_wait;
 pub mod load;
 pub mod member;
 pub mod membership;
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -149,6 +149,11 @@
         self.urgent_ticks = NEWS_URGENT_TICKS;
     }
 
+    /// Returns the newest policy version that is active at a live daemon.
+    pub fn newest_policy(&self, now: time::Instant) -> ids::PolicyVersion {
+        self.live_records(now).map(|record| record.policy).max().unwrap_or(0)
+    }
+
     /// Returns the newest epoch of the policy source that any daemon knows; 0 if none does.
     pub fn source_epoch(&self) -> ids::SourceEpoch {
         self.all_records().map(|record| record.source_epoch).max().unwrap_or(0)
--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -65,12 +65,14 @@
     pub rank: u32,
     /// Fleet-wide quota of the organisation; `None` for no limit.
     pub quota: Option<quota::Limit>,
+    is_authenticated: bool,
 }
 
 impl RouteMatch {
-    /// Returns whether the request was authenticated by the key of an organisation.
+    /// Returns whether the request was authenticated by the key of an organisation, which may have
+    /// any name, also [`organisation::PUBLIC`].
     pub fn has_organisation(&self) -> bool {
-        &*self.organisation != organisation::PUBLIC
+        self.is_authenticated
     }
 }
 
@@ -166,7 +168,6 @@
         let routes = self.routes.get(host).ok_or(outcome::Rejection::NoRoute)?;
         let matching = routes.iter().find(|candidate| candidate.route.matches(path, method));
         let matching = matching.ok_or(outcome::Rejection::NoRoute)?;
-        let service = matching.select_service().ok_or(outcome::Rejection::NoRoute)?;
         let route = matching.route.clone();
         let organisation = match key {
             Some(key) => match self.authenticate(key, &matching.team) {
@@ -176,11 +177,14 @@
             None if route.public => None,
             None => return Err(outcome::Rejection::UnknownKey),
         };
+        // Rejected requests do not count in the split of the route.
+        let service = matching.select_service().ok_or(outcome::Rejection::NoRoute)?;
         let rank = organisation.and_then(|found| found.rank).unwrap_or(route.rank);
         let quota = organisation.and_then(organisation::Organisation::quota);
         let name =
             organisation.map_or_else(|| organisation::PUBLIC.into(), |found| found.name.clone());
-        Ok(RouteMatch { route, service, organisation: name, rank, quota })
+        let is_authenticated = organisation.is_some();
+        Ok(RouteMatch { route, service, organisation: name, rank, quota, is_authenticated })
     }
 
     /// Returns the organisation whose key is `key`. Rejects an unknown key and an organisation of
--- a/crates/state/src/policy/document.rs
+++ b/crates/state/src/policy/document.rs
@@ -101,9 +101,7 @@
         let mut found = Conflicts::default();
         let names = section.organisation.iter().map(|o| &*o.name);
         found.check("organisation", "name", &self.organisations, names);
-        let hashes = section.organisation.iter().flat_map(organisation::Organisation::hashes);
-        let hashes = hashes.map(String::as_str);
-        found.check("organisation", "key-hash", &self.key_hashes, hashes);
+        found.check_keys(&self.key_hashes, &section.organisation);
         found
     }
 
@@ -144,4 +142,28 @@
             }
         }
     }
+
+    /// Records a problem for each organisation with a key that is already in `claimed` or that an
+    /// earlier one of `organisations` has. The problems name organisations, never a key or its hash.
+    fn check_keys(
+        &mut self,
+        claimed: &collections::HashMap<&str, &str>,
+        organisations: &[organisation::Organisation],
+    ) {
+        let mut owners: collections::HashMap<&str, &str> = collections::HashMap::new();
+        for organisation in organisations {
+            for hash in organisation.hashes() {
+                let name = &*organisation.name;
+                let reason = if let Some(team) = claimed.get(hash.as_str()) {
+                    format!("a key of organisation '{name}' is already used by team '{team}'")
+                } else if let Some(owner) = owners.insert(hash, name) {
+                    format!("organisations '{owner}' and '{name}' have the same key")
+                } else {
+                    continue;
+                };
+                let key = "organisation.key-hash".to_owned();
+                self.problems.push(validation::Problem { key, line: None, reason });
+            }
+        }
+    }
 }
--- a/crates/state/src/validation.rs
+++ b/crates/state/src/validation.rs
@@ -27,6 +27,9 @@
     }
 }
 
+/// Keys whose values must not appear in messages: messages of deserialisation errors quote values.
+const SECRET_KEYS: [&str; 3] = ["key-hash", "key-hashes", "secret"];
+
 /// Deserialises tables of one TOML text and collects all problems.
 #[derive(Debug)]
 pub struct Reader<'a> {
@@ -70,6 +73,9 @@
                 Ok(_) => {
                     valid.insert(key, value);
                 }
+                Err(_) if SECRET_KEYS.contains(&key.as_str()) => {
+                    self.report(location, &key, "has the wrong type".to_owned());
+                }
                 Err(error) => self.report(location, &key, error.message().trim().to_owned()),
             }
         }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Ingress: accepts callers' requests, selects upstreams, retries failed attempts and responds.
 
 mod attempt;
+mod authentication;
 mod head;
 mod hedge;
 mod outstanding;
@@ -49,6 +50,7 @@
     own_daemon: ids::DaemonName,
     identity: Identity,
     fingerprint_key: fingerprint::Key,
+    key_waits: authentication::SharedWaits,
     /// Samples the successful requests that are logged.
     success_sampler: sampling::Sampler,
 }
@@ -160,7 +162,16 @@
         let peers = peers::Peers::default();
         let success_sampler = sampling::Sampler::new(telemetry::SUCCESSES_SKIPPED);
         let fingerprint_key = fingerprint::Key::from_secret(&identity.secret);
-        Self { shared, sidecar, peers, own_daemon, identity, fingerprint_key, success_sampler }
+        Self {
+            shared,
+            sidecar,
+            peers,
+            own_daemon,
+            identity,
+            fingerprint_key,
+            key_waits: Default::default(),
+            success_sampler,
+        }
     }
 
     /// Serves one caller's request. Rejections and failures are returned as HTTP responses too.
@@ -172,7 +183,7 @@
         let id = request.headers().get(&scheme.exchange_id).cloned();
         let arrived = self.shared.now();
         self.await_policy(&request, arrived).await;
-        let context = match self.accept(request, arrived) {
+        let context = match self.accept(request, arrived).await {
             Ok(context) => context,
             Err(rejection) => {
                 let outcome = outcome::Outcome::NotRun(rejection);
@@ -219,22 +230,15 @@
 
     /// Validates, routes and authorises a request, applies the size and rate limits, and prepares
     /// the head for forwarding.
-    fn accept(
+    async fn accept(
         &self,
         request: http::Request<incoming_body::IncomingBody>,
         arrived: time::Instant,
     ) -> Result<RequestContext, outcome::Rejection> {
         let (mut head, incoming) = request.into_parts();
         let scheme = &self.identity.header_scheme;
-        if !self.shared.is_current() {
-            return Err(outcome::Rejection::NoPolicy);
-        }
-        let policy = self.shared.policy();
-        let has_organisations = policy.has_organisations();
-        let parsed = head::RequestHead::parse(&head, scheme, has_organisations)?;
-        let key = parsed.key.as_deref();
-        let route_match =
-            policy.match_request(&parsed.host, &parsed.path, head.method.as_str(), key)?;
+        let authentication::Authenticated { policy, parsed, route_match } =
+            self.authenticate(&head, arrived).await?;
         let body_size = content_length(&head.headers).unwrap_or(0);
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
@@ -248,7 +252,7 @@
         scheme.sanitise(&mut head.headers, &self.identity.service);
         hop::strip_internal_headers(&mut head.headers);
         hop::strip_hop_by_hop_headers(&mut head.headers);
-        if has_organisations {
+        if policy.has_organisations() {
             let name = route_match.has_organisation().then_some(&*route_match.organisation);
             scheme.write_organisation(&mut head.headers, name);
         }
