Count the response in the cost of another failure domain, and let the policy set the price

Cause: only the declared size of the request body counted as a transfer between failure domains, so a request of a few bytes with a response of 90 kB crossed as readily as one with a response of 100 bytes.

The key transfer-cost of a service, 0 to 3600 s per gigabyte, replaces the constant; without it the constant applies (7,629 s per gigabyte, outside the range of the key, hence optional). The price is waived if only the other domain can meet the objective of the request.

--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -55,6 +55,9 @@
         /// Sensitivity of outlier detection, which finds upstreams with gray failures. Has no effect
         /// at present.
         pub preset: Preset,
+        /// What the transfer of a gigabyte (10^9 bytes) to another failure domain may cost in
+        /// latency, in seconds per gigabyte, 0 to 3600; with `None`, 1 s per 128 KiB.
+        pub transfer_cost: Option<f64>,
         /// Longest time without progress on a body before the request is aborted.
         #[serde(with = "humantime_serde")]
         pub stall: time::Duration,
@@ -78,6 +81,7 @@
             hedge: true,
             hedge_after: 1.0,
             preset: Preset::Steady,
+            transfer_cost: None,
             stall: time::Duration::from_secs(10),
         }
     }
@@ -90,10 +94,30 @@
 /// Longest `max_wait`, `ramp`, `stall` and `retry_window`.
 const DURATION_MAX: time::Duration = time::Duration::from_secs(600);
 const HEDGE_AFTER_MAX: f64 = 100.0;
+/// Highest `transfer_cost` in seconds per gigabyte.
+const TRANSFER_COST_MAX: f64 = 3600.0;
+/// Bytes in the gigabyte of `transfer_cost`.
+const GIGABYTE: f64 = 1e9;
+/// Seconds of latency that a byte sent to another failure domain may cost if the policy does not
+/// state it: 1 s per 128 KiB, which is above [`TRANSFER_COST_MAX`].
+const TRANSFER_COST_PER_BYTE: f64 = 1.0 / (128.0 * 1024.0);
 /// Shortest `stall` and `retry_window`.
 const DURATION_MIN: time::Duration = time::Duration::from_millis(100);
 
 impl Service {
+    /// Returns what a byte sent to another failure domain may cost in latency, in seconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_state::policy::service;
+    /// let service = service::Service { transfer_cost: Some(100.0), ..Default::default() };
+    /// assert!((service.transfer_cost_per_byte() * 1e9 - 100.0).abs() < 1e-6);
+    /// ```
+    pub fn transfer_cost_per_byte(&self) -> f64 {
+        self.transfer_cost.map_or(TRANSFER_COST_PER_BYTE, |cost| cost / GIGABYTE)
+    }
+
     /// Reports every invalid value to `reader`.
     pub fn validate(&self, location: &validation::Location, reader: &mut validation::Reader<'_>) {
         let mut require = |is_valid: bool, key: &str, reason: String| {
@@ -152,6 +176,13 @@
             "ramp",
             format!("is greater than {}s", DURATION_MAX.as_secs()),
         );
+        let cost_ok =
+            self.transfer_cost.is_none_or(|cost| (0.0..=TRANSFER_COST_MAX).contains(&cost));
+        require(
+            cost_ok,
+            "transfer-cost",
+            format!("is not in the range 0 to {TRANSFER_COST_MAX} (seconds per gigabyte)"),
+        );
         let stall_ok = (DURATION_MIN..=DURATION_MAX).contains(&self.stall);
         require(stall_ok, "stall", "is not in the range 100ms to 600s".into());
     }
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -75,6 +75,10 @@
     pub body_size: u64,
     /// Expected size of the response body in bytes; 0 if it is unknown.
     pub response_size: u64,
+    /// What a byte sent to another failure domain may cost in latency, in seconds.
+    pub transfer_cost: f64,
+    /// Time left to meet the request's objective; `None` if it has none.
+    pub objective: Option<time::Duration>,
     /// Upstreams that earlier attempts of the request have used.
     pub tried: &'a [net::SocketAddr],
     /// Time of the selection.
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -8,10 +8,6 @@
 
 use crate::router;
 
-/// Body bytes whose transfer into another failure domain costs as much as one second of latency.
-/// Traffic between domains is charged for, so a large upload waits longer for an upstream in the
-/// same domain.
-const CROSS_DOMAIN_BYTES_PER_SECOND: f64 = 128.0 * 1024.0;
 /// Cost of another failure domain as a fraction of the median latency.
 const CROSS_DOMAIN_COST_FRACTION: f64 = 0.3;
 /// Cost of another failure domain in seconds, in addition to the fraction of the median.
@@ -122,7 +118,7 @@
     }
 
     /// Returns the upstream with the lowest cost among two random ones in failure domain `domain`
-    /// and two in other domains.
+    /// and two in other domains, whose cost includes that of the transfer.
     pub(super) fn lowest_cost(
         &self,
         usable: &[usize],
@@ -130,24 +126,28 @@
         criteria: &router::Criteria<'_>,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let now = criteria.now;
         let (same_domain, other_domains): (Vec<usize>, Vec<usize>) =
             usable.iter().partition(|&&i| &*self.upstreams[i].candidate.domain == domain);
-        let median = self.median_latency(now);
-        let transfer_cost = criteria.body_size as f64 / CROSS_DOMAIN_BYTES_PER_SECOND;
-        let cross_domain_cost =
-            CROSS_DOMAIN_COST_FRACTION * median + CROSS_DOMAIN_COST_S + transfer_cost;
-        let mut best: Option<(f64, usize)> = None;
-        for (group, is_cross_domain) in [(same_domain, false), (other_domains, true)] {
-            for index in sample_two(&group, rng) {
-                let surcharge = if is_cross_domain { cross_domain_cost } else { 0.0 };
-                let cost = self.upstreams[index].cost(median, now) + surcharge;
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, index));
-                }
-            }
-        }
-        best.map(|(_, index)| index)
+        let median = self.median_latency(criteria.now);
+        let own = self.cheapest(sample_two(&same_domain, rng), median, criteria.now);
+        let other = self.cheapest(sample_two(&other_domains, rng), median, criteria.now);
+        let (Some((own_cost, own_index)), Some((other_cost, other_index))) = (own, other) else {
+            return own.or(other).map(|(_, index)| index);
+        };
+        let other_cost = other_cost + CROSS_DOMAIN_COST_FRACTION * median + CROSS_DOMAIN_COST_S;
+        let surcharge = transfer_surcharge(criteria, own_cost, other_cost);
+        Some(if other_cost + surcharge < own_cost { other_index } else { own_index })
+    }
+
+    /// Returns the lowest cost of the upstreams and the index of the one that has it.
+    fn cheapest(
+        &self,
+        indexes: impl Iterator<Item = usize>,
+        median: f64,
+        now: time::Instant,
+    ) -> Option<(f64, usize)> {
+        let costs = indexes.map(|index| (self.upstreams[index].cost(median, now), index));
+        costs.min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
     pub(super) fn median_latency(&self, now: time::Instant) -> f64 {
@@ -168,6 +168,18 @@
     criteria.floor.max(share).max(1)
 }
 
+/// Returns the cost in seconds of the bytes that another failure domain would send and receive. It is
+/// waived if only that domain can meet the request's objective: the price delays requests that can
+/// wait and makes none late.
+fn transfer_surcharge(criteria: &router::Criteria<'_>, own_cost: f64, other_cost: f64) -> f64 {
+    let objective = criteria.objective.map_or(f64::INFINITY, |left| left.as_secs_f64());
+    if own_cost > objective && other_cost <= objective {
+        return 0.0;
+    }
+    let bytes = criteria.body_size.saturating_add(criteria.response_size);
+    bytes as f64 * criteria.transfer_cost
+}
+
 fn sample_two(group: &[usize], rng: &mut impl Rng) -> impl Iterator<Item = usize> {
     let length = group.len();
     let first = (length > 0).then(|| rng.random_range(0..length.max(1)));
--- a/crates/state/src/router/tests.rs
+++ b/crates/state/src/router/tests.rs
@@ -43,6 +43,8 @@
         use_avoided: true,
         body_size: 0,
         response_size: 0,
+        transfer_cost: 1.0 / (128.0 * 1024.0),
+        objective: None,
         tried: &[],
         now,
     }
@@ -192,34 +194,56 @@
     assert!(counts[0] < 20, "{counts:?}");
 }
 
+/// Returns the share of requests that leave domain `a`, whose only upstream takes 100 ms, for one of
+/// two in domain `b` that take 40 ms.
+fn cross_domain_share(criteria: &Criteria<'_>) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut router = Router::new("d0".into(), "a".into(), Balance::LoadSeen);
+    router.sync(vec![candidate(1, "a"), candidate(2, "b"), candidate(3, "b")]);
+    // The upstream in the same domain is slower, but not by enough to be excluded.
+    for number in [1, 2, 3] {
+        let id = candidate(number, "a").id;
+        let elapsed = time::Duration::from_millis(if number == 1 { 100 } else { 40 });
+        for _ in 0..20 {
+            let result = AttemptResult::Responded { elapsed, is_error: false };
+            router.record_result(&id, result, criteria.now);
+        }
+    }
+    let picks = (0..200).filter_map(|_| {
+        let picked = router.pick(criteria, &mut rng)?;
+        router.record_result(&picked.id, AttemptResult::Inconclusive, criteria.now);
+        Some(&*picked.domain == "b")
+    });
+    picks.filter(|is_cross_domain| *is_cross_domain).count() as f64 / 200.0
+}
+
 #[test]
 fn a_large_body_stays_in_its_failure_domain_while_a_small_one_spreads() {
-    let mut rng = SmallRng::seed_from_u64(7);
+    let small = criteria(time::Instant::now());
+    assert!(cross_domain_share(&small) > 0.9);
+    assert!(cross_domain_share(&Criteria { body_size: 60_000, ..small }) < 0.1);
+}
+
+// Guards against transfers to other domains that are free because only the request was counted.
+#[test]
+fn a_large_expected_response_stays_in_its_failure_domain_like_a_large_body() {
+    let large = Criteria { response_size: 60_000, ..criteria(time::Instant::now()) };
+    assert!(cross_domain_share(&large) < 0.1);
+    let cheap = Criteria { transfer_cost: 100.0 / 1e9, ..large };
+    assert!(cross_domain_share(&cheap) > 0.9, "a transfer that the policy makes cheap");
+}
+
+// Guards against a price on traffic that makes requests late which another domain could serve.
+#[test_case(Some(70), true; "only the other domain meets the objective")]
+#[test_case(Some(500), false; "both domains meet the objective")]
+#[test_case(Some(10), false; "no domain meets the objective")]
+#[test_case(None, false; "no objective")]
+fn the_price_of_a_transfer_makes_no_request_late(objective_ms: Option<u64>, leaves: bool) {
+    let objective = objective_ms.map(time::Duration::from_millis);
     let now = time::Instant::now();
-    let cross_domain_share = |body_size: u64, rng: &mut SmallRng| {
-        let mut router = Router::new("d0".into(), "a".into(), Balance::LoadSeen);
-        router.sync(vec![candidate(1, "a"), candidate(2, "b"), candidate(3, "b")]);
-        // The upstream in the same domain is slower, but not by enough to be excluded.
-        for number in [1, 2, 3] {
-            let id = candidate(number, "a").id;
-            let elapsed = time::Duration::from_millis(if number == 1 { 100 } else { 40 });
-            for _ in 0..20 {
-                router.record_result(
-                    &id,
-                    AttemptResult::Responded { elapsed, is_error: false },
-                    now,
-                );
-            }
-        }
-        let picks = (0..200).filter_map(|_| {
-            let picked = router.pick(&Criteria { body_size, ..criteria(now) }, rng)?;
-            router.record_result(&picked.id, AttemptResult::Inconclusive, now);
-            Some(&*picked.domain == "b")
-        });
-        picks.filter(|is_cross_domain| *is_cross_domain).count() as f64 / 200.0
-    };
-    assert!(cross_domain_share(0, &mut rng) > 0.9);
-    assert!(cross_domain_share(60_000, &mut rng) < 0.1);
+    let share = cross_domain_share(&Criteria { objective, response_size: 60_000, ..criteria(now) });
+    assert_eq!(share > 0.9, leaves, "{share}");
+    assert!(leaves || share < 0.1, "{share}");
 }
 
 #[test]
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
 //! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `limiter`, `allocator`, `traffic`,
-//! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
+//! `response_sizes`, `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
 //! an await point. The admission state is private to the sidecar and never locked together with these.
 
 use std::hash;
@@ -23,6 +23,7 @@
 use crate::policy::reducer;
 use crate::quarantine;
 use crate::rate_limit;
+use crate::response_size;
 use crate::retry;
 use crate::router;
 use crate::startup;
@@ -45,6 +46,7 @@
     limiter: sync::Mutex<rate_limit::LocalLimiter>,
     allocator: sync::Mutex<rate_limit::Allocator>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
+    response_sizes: sync::Mutex<response_size::ResponseSizes>,
     quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router was last synchronised with.
@@ -81,6 +83,7 @@
             limiter: Default::default(),
             allocator: Default::default(),
             traffic: Default::default(),
+            response_sizes: Default::default(),
             quarantine: Default::default(),
             events: sync::Mutex::new(ring),
             router_generation: Default::default(),
@@ -166,6 +169,11 @@
         lock(&self.allocator)
     }
 
+    /// Locks the expected sizes of responses.
+    pub fn response_sizes(&self) -> sync::MutexGuard<'_, response_size::ResponseSizes> {
+        lock(&self.response_sizes)
+    }
+
     /// Locks the requests that are suspected of crashing upstreams.
     pub fn quarantine(&self) -> sync::MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -84,8 +84,9 @@
     }
 }
 
-/// Reports a stalled, truncated or endless response body as a failure of its upstream.
-fn report_broken_body<C: clock::Clock>(
+/// Counts the bytes of a response body, and reports one that is stalled, truncated or endless as a
+/// failure of its upstream.
+fn report_progress<C: clock::Clock>(
     polled: body_error::PolledFrame,
     outstanding: &mut ingress::OutstandingRequest<C>,
 ) -> body_error::PolledFrame {
@@ -93,6 +94,13 @@
     if matches!(polled, task::Poll::Ready(Some(Err(Stalled | Truncated | Endless)))) {
         outstanding.set_result(router::AttemptResult::Failed);
     }
+    match &polled {
+        task::Poll::Ready(Some(Ok(frame))) => {
+            outstanding.count_bytes(frame.data_ref().map_or(0, Bytes::len));
+        }
+        task::Poll::Ready(None) => outstanding.end_body(),
+        _ => {}
+    }
     polled
 }
 
@@ -113,11 +121,11 @@
             }
             ResponseBody::Local(body, outstanding, cutoff) => {
                 let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
-                report_broken_body(polled, outstanding)
+                report_progress(polled, outstanding)
             }
             ResponseBody::Remote(body, outstanding, cutoff) => {
                 let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
-                report_broken_body(polled, outstanding)
+                report_progress(polled, outstanding)
             }
         }
     }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -23,6 +23,7 @@
 use lynxmast_state::outlier;
 use lynxmast_state::policy::compiled;
 use lynxmast_state::progress;
+use lynxmast_state::response_size;
 use lynxmast_state::retry;
 use lynxmast_state::router;
 use lynxmast_state::sampling;
@@ -122,6 +123,12 @@
         }
     }
 
+    /// Returns the key under which the sizes of the route's responses are learned.
+    fn response_key(&self) -> response_size::RouteKey {
+        let compiled::RouteMatch { route, service, .. } = &self.route_match;
+        response_size::route_key(&service.name, route)
+    }
+
     /// Returns the time left to meet the latency objective of the route, zero if it is missed;
     /// `None` if the route has no objective.
     fn objective_remaining(&self, now: time::Instant) -> Option<time::Duration> {
@@ -435,6 +442,8 @@
             return Err(outcome::Rejection::NoUpstream);
         }
         let tried: Vec<_> = progress.tried().iter().copied().collect();
+        let now = self.shared.now();
+        let response_size = self.shared.response_sizes().expected(context.response_key());
         let criteria = router::Criteria {
             service: &context.route_match.service.name,
             floor: context.route_match.service.floor,
@@ -442,9 +451,11 @@
             may_probe: context.has_attempt_after_next(progress) && self.may_probe(context),
             use_avoided: progress.found_unavailable(),
             body_size: context.body_size,
-            response_size: 0,
+            response_size,
+            transfer_cost: context.route_match.service.transfer_cost_per_byte(),
+            objective: context.objective_remaining(now),
             tried: &tried,
-            now: self.shared.now(),
+            now,
         };
         let mut router = self.shared.router();
         let mut picked = router.pick(&criteria, &mut rand::rng());
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -67,6 +67,9 @@
         let service = &context.route_match.service.name;
         self.shared
             .with_traffic(service, |traffic| traffic.latency_p95.record(elapsed.as_secs_f64()));
+        if !response.status().is_server_error() {
+            outstanding.learn_size(context.response_key(), response.body().exact_size());
+        }
         let result = buffer_small(track(response, outstanding, context.deadline)).await;
         result.map_err(retry::AttemptEnd::MayHaveRun)
     }
@@ -218,6 +221,16 @@
     Remote(stall_timeout::StallTimeoutBody),
 }
 
+impl<C: clock::Clock> UntrackedBody<C> {
+    /// Returns the size of the body in bytes; `None` if it is not known in advance.
+    fn exact_size(&self) -> Option<u64> {
+        match self {
+            UntrackedBody::Local(body) => body.size_hint().exact(),
+            UntrackedBody::Remote(body) => body.size_hint().exact(),
+        }
+    }
+}
+
 fn build_request(context: &ingress::RequestContext) -> http::Request<crate::replay::AttemptBody> {
     let mut request = http::Request::new(context.body.attempt());
     *request.method_mut() = context.head.method.clone();
