--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -154,6 +154,12 @@
         }
     }
 
+    /// Returns whether the header of the key has a meaning in a policy without organisations too, since
+    /// its name is reserved for lynxmast.
+    pub fn is_key_reserved(&self) -> bool {
+        self.key.as_str().starts_with(header::PREFIX)
+    }
+
     /// Formats a duration in seconds for `retry-after`, rounded up to whole seconds unless callers
     /// accept fractions.
     ///
--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -23,11 +23,26 @@
     pub version: ids::PolicyVersion,
     /// Size and time limits on requests of callers.
     pub limits: document::CallerLimits,
+    /// Shared with the previous version if no service and no route has changed.
+    routing: sync::Arc<Routing>,
+    /// Shared with the previous version if no organisation has changed.
+    organisations: sync::Arc<Organisations>,
+}
+
+/// Services and routes of a document.
+#[derive(Debug, Default)]
+struct Routing {
+    /// Services and routes from which this was compiled, by team.
+    source: Vec<(ids::TeamName, Vec<service::Service>, Vec<route::Route>)>,
     services: collections::HashMap<ids::ServiceName, sync::Arc<service::Service>>,
     /// Routes by host, in order of precedence: longest path first, then routes with methods.
     routes: collections::HashMap<String, Vec<CompiledRoute>>,
-    /// Organisations by the hash of their key.
-    by_key: collections::HashMap<String, sync::Arc<TeamOrganisation>>,
+}
+
+/// Organisations of a document. Entries of unchanged organisations are shared between versions.
+#[derive(Debug, Default)]
+struct Organisations {
+    by_key: collections::HashMap<organisation::KeyHash, sync::Arc<TeamOrganisation>>,
     by_name: collections::HashMap<ids::OrganisationName, sync::Arc<TeamOrganisation>>,
 }
 
@@ -80,69 +95,71 @@
     /// Builds the indexes of `document`, whose version is `version`. `seed` should differ between
     /// daemons and versions: it determines which part of a split route gets the first request.
     pub fn compile(version: ids::PolicyVersion, document: &document::Document, seed: u64) -> Self {
-        let mut compiled = CompiledPolicy {
-            version,
-            limits: document.limits.clone(),
-            ..CompiledPolicy::default()
+        CompiledPolicy::default().recompile(version, document, seed)
+    }
+
+    /// Builds the indexes of a later document and shares those parts with this policy that have not
+    /// changed, so that a change of one key costs no new routes and services.
+    pub fn recompile(
+        &self,
+        version: ids::PolicyVersion,
+        document: &document::Document,
+        seed: u64,
+    ) -> Self {
+        let routing = match self.routing.is_compiled_from(document) {
+            true => self.routing.clone(),
+            false => sync::Arc::new(Routing::compile(document, seed)),
         };
-        for (team, section) in &document.sections {
-            for service in &section.service {
-                compiled.services.insert(service.name.clone(), sync::Arc::new(service.clone()));
-            }
-            for route in &section.route {
-                let compiled_route = CompiledRoute::compile(team, route, &compiled.services, seed);
-                compiled.routes.entry(route.host.clone()).or_default().push(compiled_route);
-            }
-            for organisation in &section.organisation {
-                let organisation = organisation.clone();
-                let indexed = sync::Arc::new(TeamOrganisation { team: team.clone(), organisation });
-                for hash in indexed.organisation.hashes() {
-                    compiled.by_key.insert(hash.clone(), indexed.clone());
-                }
-                compiled.by_name.insert(indexed.organisation.name.clone(), indexed);
-            }
-        }
-        for routes in compiled.routes.values_mut() {
-            routes.sort_by_key(|candidate| {
-                let has_methods = !candidate.route.methods.is_empty();
-                (std::cmp::Reverse(candidate.route.path.len()), std::cmp::Reverse(has_methods))
-            });
-        }
-        compiled
+        let organisations = match self.organisations.is_compiled_from(document) {
+            true => self.organisations.clone(),
+            false => sync::Arc::new(Organisations::compile(document, &self.organisations)),
+        };
+        CompiledPolicy { version, limits: document.limits.clone(), routing, organisations }
     }
 
     /// Returns the policy of a service; `None` if the policy has no such service.
     pub fn service(&self, name: &str) -> Option<&sync::Arc<service::Service>> {
-        self.services.get(name)
+        self.routing.services.get(name)
     }
 
     /// Returns an iterator over all services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &sync::Arc<service::Service>> {
-        self.services.values()
+        self.routing.services.values()
     }
 
     /// Returns the weight of an organisation in fair queueing; 1 for callers without a key and for
     /// organisations that the policy does not have.
     pub fn weight(&self, organisation: &str) -> u32 {
-        self.by_name.get(organisation).map_or(1, |found| found.organisation.weight)
+        self.organisations.by_name.get(organisation).map_or(1, |found| found.organisation.weight)
     }
 
     /// Returns the fleet-wide quota of an organisation; `None` if it has no limit or is not in the
     /// policy.
     pub fn quota(&self, organisation: &str) -> Option<quota::Limit> {
-        self.by_name.get(organisation).and_then(|found| found.organisation.quota())
+        let found = self.organisations.by_name.get(organisation);
+        found.and_then(|found| found.organisation.quota())
     }
 
     /// Returns whether the policy has organisations. Without any, the header of the key has no
     /// meaning.
     pub fn has_organisations(&self) -> bool {
-        !self.by_name.is_empty()
+        !self.organisations.by_name.is_empty()
+    }
+
+    /// Returns the number of organisations whose entry is shared with `other`.
+    pub fn shared_entries(&self, other: &CompiledPolicy) -> usize {
+        let others = &other.organisations.by_name;
+        let entries = self.organisations.by_name.iter();
+        let is_shared = |(name, entry): &(&ids::OrganisationName, &sync::Arc<_>)| {
+            others.get(*name).is_some_and(|other| sync::Arc::ptr_eq(entry, other))
+        };
+        entries.filter(is_shared).count()
     }
 
     /// Returns the route of a request, whatever its organisation; `None` if no route matches. `host`
     /// is in lower case and without port.
     pub fn find_route(&self, host: &str, path: &str, method: &str) -> Option<&route::Route> {
-        let mut routes = self.routes.get(host)?.iter().map(|candidate| &*candidate.route);
+        let mut routes = self.routing.routes.get(host)?.iter().map(|candidate| &*candidate.route);
         routes.find(|route| route.matches(path, method))
     }
 
@@ -165,7 +182,7 @@
         if self.version == 0 {
             return Err(outcome::Rejection::NoPolicy);
         }
-        let routes = self.routes.get(host).ok_or(outcome::Rejection::NoRoute)?;
+        let routes = self.routing.routes.get(host).ok_or(outcome::Rejection::NoRoute)?;
         let matching = routes.iter().find(|candidate| candidate.route.matches(path, method));
         let matching = matching.ok_or(outcome::Rejection::NoRoute)?;
         let route = matching.route.clone();
@@ -194,7 +211,7 @@
         key: &str,
         team: &ids::TeamName,
     ) -> Result<&organisation::Organisation, outcome::Rejection> {
-        let found = self.by_key.get(&organisation::hash_key(key));
+        let found = self.organisations.by_key.get(&organisation::KeyHash::of_key(key));
         let found = found.ok_or(outcome::Rejection::UnknownKey)?;
         if found.team != *team {
             return Err(outcome::Rejection::Forbidden);
@@ -203,6 +220,82 @@
     }
 }
 
+impl Routing {
+    fn is_compiled_from(&self, document: &document::Document) -> bool {
+        self.source.len() == document.sections.len()
+            && self.source.iter().zip(&document.sections).all(
+                |((team, services, routes), (other, section))| {
+                    team == other && *services == section.service && *routes == section.route
+                },
+            )
+    }
+
+    fn compile(document: &document::Document, seed: u64) -> Self {
+        let mut compiled = Routing::default();
+        for (team, section) in &document.sections {
+            for service in &section.service {
+                compiled.services.insert(service.name.clone(), sync::Arc::new(service.clone()));
+            }
+            for route in &section.route {
+                let compiled_route = CompiledRoute::compile(team, route, &compiled.services, seed);
+                compiled.routes.entry(route.host.clone()).or_default().push(compiled_route);
+            }
+            compiled.source.push((team.clone(), section.service.clone(), section.route.clone()));
+        }
+        for routes in compiled.routes.values_mut() {
+            routes.sort_by_key(|candidate| {
+                let has_methods = !candidate.route.methods.is_empty();
+                (std::cmp::Reverse(candidate.route.path.len()), std::cmp::Reverse(has_methods))
+            });
+        }
+        compiled
+    }
+}
+
+impl Organisations {
+    fn is_compiled_from(&self, document: &document::Document) -> bool {
+        let mut all = organisations(document);
+        let count = document.sections.values().map(|section| section.organisation.len());
+        self.by_name.len() == count.sum::<usize>()
+            && all.all(|(team, organisation)| self.find(team, organisation).is_some())
+    }
+
+    /// Builds the indexes. Entries that have not changed are taken from `previous`.
+    fn compile(document: &document::Document, previous: &Organisations) -> Self {
+        let mut compiled = Organisations::default();
+        for (team, organisation) in organisations(document) {
+            let indexed = previous.find(team, organisation).cloned().unwrap_or_else(|| {
+                let (team, organisation) = (team.clone(), organisation.clone());
+                sync::Arc::new(TeamOrganisation { team, organisation })
+            });
+            for hash in indexed.organisation.hashes().filter_map(|hash| hash.parse().ok()) {
+                compiled.by_key.insert(hash, indexed.clone());
+            }
+            compiled.by_name.insert(indexed.organisation.name.clone(), indexed);
+        }
+        compiled
+    }
+
+    /// Returns the entry of an organisation if it has not changed.
+    fn find(
+        &self,
+        team: &ids::TeamName,
+        organisation: &organisation::Organisation,
+    ) -> Option<&sync::Arc<TeamOrganisation>> {
+        let found = self.by_name.get(&organisation.name)?;
+        (found.team == *team && found.organisation == *organisation).then_some(found)
+    }
+}
+
+fn organisations(
+    document: &document::Document,
+) -> impl Iterator<Item = (&ids::TeamName, &organisation::Organisation)> {
+    let sections = document.sections.iter();
+    sections.flat_map(|(team, section)| {
+        section.organisation.iter().map(move |organisation| (team, organisation))
+    })
+}
+
 impl CompiledRoute {
     fn compile(
         team: &ids::TeamName,
--- a/crates/state/src/policy/organisation.rs
+++ b/crates/state/src/policy/organisation.rs
@@ -1,5 +1,8 @@
 //! Policy of an organisation: keys, weight, rank and quota.
 
+use std::fmt;
+use std::str;
+
 use sha2::Digest;
 
 use crate::ids;
@@ -45,6 +48,45 @@
     }
 }
 
+/// SHA-256 of a key in binary form, which takes a third of the memory of the hexadecimal form.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Returns the hash of a key.
+    pub fn of_key(key: &str) -> Self {
+        Self(sha2::Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+/// Hides the hash: hashes must not appear in logs.
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyHash(..)")
+    }
+}
+
+impl str::FromStr for KeyHash {
+    type Err = NotAHash;
+
+    /// Parses the form that the policy document stores.
+    fn from_str(text: &str) -> Result<Self, NotAHash> {
+        if !is_hash(text) {
+            return Err(NotAHash);
+        }
+        let mut hash = [0; 32];
+        for (byte, digits) in hash.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
+            let digits = str::from_utf8(digits).map_err(|_| NotAHash)?;
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| NotAHash)?;
+        }
+        Ok(Self(hash))
+    }
+}
+
+/// A text is not a hash in the form that the policy document stores.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotAHash;
+
 /// Organisation name under which requests without a key are counted.
 pub const PUBLIC: &str = "public";
 /// Default of `burst`, in seconds at `rate`.
--- a/crates/state/src/policy/tests.rs
+++ b/crates/state/src/policy/tests.rs
@@ -188,3 +188,117 @@
     let share = share_of_part(daemons, requests);
     assert!((0.62..=0.78).contains(&share), "{share}");
 }
+
+const KEY: &str = "k-5ecret";
+
+/// Returns a document with three routes and two organisations, of which `first` has `keys`.
+fn organisations_document(keys: &[&str], first_rank: Option<u32>) -> document::Document {
+    let hashes = |keys: &[&str]| keys.iter().map(|key| organisation::hash_key(key)).collect();
+    let text = "team = 't'
+[[service]]
+name = 's'
+[[route]]
+service = 's'
+host = 'h'
+path = '/closed'
+public = false
+rank = 5
+[[route]]
+service = 's'
+host = 'h'
+path = '/open'
+rank = 5
+[[route]]
+service = 's'
+host = 'h'
+path = '/any'
+any-key = true
+rank = 5
+";
+    let mut section = section::Section::parse(text).expect("the section is valid");
+    let first = organisation::Organisation {
+        name: "first".into(),
+        key_hashes: hashes(keys),
+        rank: first_rank,
+        ..Default::default()
+    };
+    let second = organisation::Organisation {
+        name: organisation::PUBLIC.into(),
+        key_hashes: hashes(&["other"]),
+        ..Default::default()
+    };
+    section.organisation = vec![first, second];
+    document::Document::new([section])
+}
+
+// Guards against an organisation that gets the rank of the route, and against keys that are
+// accepted or ignored on the wrong kind of route.
+#[test_case("/closed", Some("a"), Ok(("first", true, 1)); "rank of the organisation")]
+#[test_case("/closed", Some("b"), Ok(("first", true, 1)); "second key")]
+#[test_case("/closed", Some("other"), Ok(("public", true, 5)); "rank of the route, reserved name")]
+#[test_case("/closed", Some("x"), Err(outcome::Rejection::UnknownKey); "unknown key")]
+#[test_case("/closed", Some(""), Err(outcome::Rejection::UnknownKey); "empty key")]
+#[test_case("/closed", None, Err(outcome::Rejection::UnknownKey); "no key")]
+#[test_case("/open", Some("a"), Ok(("first", true, 1)); "known key on a public route")]
+#[test_case("/open", Some("x"), Err(outcome::Rejection::UnknownKey); "unknown key on a public route")]
+#[test_case("/open", None, Ok(("public", false, 5)); "no key on a public route")]
+#[test_case("/any", Some("a"), Ok(("first", true, 1)); "known key where any is accepted")]
+#[test_case("/any", Some("x"), Ok(("public", false, 5)); "unknown key where any is accepted")]
+#[test_case("/any", None, Ok(("public", false, 5)); "no key where any is accepted")]
+fn keys_and_ranks_follow_the_route_and_the_organisation(
+    path: &str,
+    key: Option<&str>,
+    expected: Result<(&str, bool, u32), outcome::Rejection>,
+) {
+    let document = organisations_document(&["a", "b"], Some(1));
+    let policy = compiled::CompiledPolicy::compile(1, &document, 0);
+    let found = policy.match_request("h", path, "GET", key);
+    let found = found.map(|m| (m.organisation.to_string(), m.has_organisation(), m.rank));
+    assert_eq!(found, expected.map(|(name, has_key, rank)| (name.to_owned(), has_key, rank)));
+}
+
+// Guards against withdrawn keys that remain in an index which versions share, and against a change
+// of one key that compiles the routes and the other organisations again.
+#[test]
+fn a_changed_key_shares_all_else_with_the_previous_version() {
+    let old = compiled::CompiledPolicy::compile(1, &organisations_document(&["a"], None), 0);
+    let new = old.recompile(2, &organisations_document(&["b"], None), 7);
+    let find = |policy: &compiled::CompiledPolicy, key| {
+        policy.match_request("h", "/closed", "GET", Some(key))
+    };
+    assert!(find(&old, "a").is_ok() && find(&old, "b").is_err());
+    assert!(find(&new, "a").is_err() && find(&new, "b").is_ok());
+    let (before, after) = (find(&old, "other"), find(&new, "other"));
+    let (before, after) = (before.expect("a known key"), after.expect("a known key"));
+    assert!(std::sync::Arc::ptr_eq(&before.route, &after.route), "routes are not compiled again");
+    assert!(std::sync::Arc::ptr_eq(&before.service, &after.service));
+    let unchanged = new.recompile(3, &organisations_document(&["b"], None), 8);
+    assert_eq!(unchanged.shared_entries(&new), 2);
+    assert_eq!(new.shared_entries(&old), 1, "only the changed organisation is new");
+    let mut changed = organisations_document(&["b"], None);
+    changed.sections[0].route[0].rank = 6;
+    let changed = new.recompile(4, &changed, 9);
+    assert_eq!(find(&changed, "other").expect("a known key").rank, 6);
+}
+
+// Guards against keys and hashes in messages to operators and in verdicts, which all daemons keep.
+#[test_case("key-hash = 'KEY'"; "key instead of its hash")]
+#[test_case("key-hashes = 'HASH'"; "hashes that are no list")]
+#[test_case("key-hashes = ['HASH', 'HASH']"; "repeated hash")]
+#[test_case("key-hashes = [['HASH']]"; "hash in a list")]
+#[test_case("key-hash = 'HASH'\n[[organisation]]\nname = 'p'\nkey-hash = 'HASH'"; "key of two organisations")]
+#[test_case("key-hash = 'HASH'\n[[organisation]]\nname = 'o'\nkey-hash = '0'"; "duplicate organisation")]
+#[test_case("key-hash = 'HASH'\nrank = -1"; "negative rank")]
+#[test_case("key-hash = 'HASH'\nrank = 0.5"; "fractional rank")]
+#[test_case("key-hash = 'HASH'\nrate = -1.0"; "negative rate")]
+#[test_case("key-hash = 'HASH'\nburst = 2.0"; "burst without rate")]
+#[test_case("key-hash = 'HASH' 'KEY'"; "syntax")]
+fn invalid_organisations_are_rejected_without_naming_a_key(lines: &str) {
+    let hash = organisation::hash_key(KEY);
+    let lines = lines.replace("HASH", &hash).replace("KEY", KEY);
+    let text = format!("{VALID}[[organisation]]\nname = 'o'\n{lines}\n");
+    let verdict = reducer::Reducer::default().apply(0, &edit("a", "t", 0, &text));
+    let Some(edit::Verdict::Invalid { problems }) = verdict else { panic!("{verdict:?}") };
+    let message = problems.join("\n");
+    assert!(!message.contains(KEY) && !message.contains(&hash), "{message}");
+}
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -113,14 +113,15 @@
     pub fn amend_policy(&self, change: impl FnOnce(&mut document::Document)) {
         let mut policy = write(&self.policy);
         change(&mut policy.reducer.document);
-        let compiled = self.compile(&policy.reducer);
+        let compiled = self.compile(&policy);
         policy.compiled = sync::Arc::new(compiled);
     }
 
-    fn compile(&self, reducer: &reducer::Reducer) -> compiled::CompiledPolicy {
+    fn compile(&self, policy: &Policy) -> compiled::CompiledPolicy {
+        let reducer = &policy.reducer;
         let mut hasher = hash::DefaultHasher::new();
         (&self.daemon, reducer.version).hash(&mut hasher);
-        compiled::CompiledPolicy::compile(reducer.version, &reducer.document, hasher.finish())
+        policy.compiled.recompile(reducer.version, &reducer.document, hasher.finish())
     }
 
     /// Changes the policy reducer and activates its document if the version increased.
@@ -138,7 +139,7 @@
         if !is_new {
             return;
         }
-        let compiled = self.compile(&policy.reducer);
+        let compiled = self.compile(&policy);
         policy.compiled = sync::Arc::new(compiled);
         let version = policy.reducer.version;
         drop(policy);
--- a/crates/transport/src/ingress/authentication.rs
+++ b/crates/transport/src/ingress/authentication.rs
@@ -111,7 +111,8 @@
         }
         let policy = self.shared.policy();
         let scheme = &self.identity.header_scheme;
-        let mut parsed = head::RequestHead::parse(head, scheme, policy.has_organisations())?;
+        let reads_key = policy.has_organisations() || scheme.is_key_reserved();
+        let mut parsed = head::RequestHead::parse(head, scheme, reads_key)?;
         let key = parsed.key.take();
         let (method, is_missing) = (head.method.as_str(), key.is_none());
         match policy.match_request(&parsed.host, &parsed.path, method, key.as_deref()) {
--- a/crates/transport/src/ingress/head.rs
+++ b/crates/transport/src/ingress/head.rs
@@ -23,7 +23,7 @@
 
 impl RequestHead {
     /// Parses and validates a head. The organisation's key is read only if `reads_key` is set: in a
-    /// policy without organisations, its header belongs to the callers.
+    /// policy without organisations, its header belongs to the callers unless its name is reserved.
     ///
     /// # Errors
     ///
