Serve calls of running requests first, and grant retries by need

Retries went to whoever asked first.

The sidecar keeps the deadlines of running requests, and the ingress beside it takes a request without a key that expires with one of them for its call. Calls take the organisation, rank and objective of their parents, go first in queues, evictions and wait estimates, and are bounded by the served shares of all kinds of requests. A retry needs more tokens left the less it is needed; no request gets one that it would not have got before, so the bound of the budget is unchanged. A retry states whether an earlier attempt may have run.

--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -149,10 +149,17 @@
     if end.value("quarantined") == "true" {
         parts.push("it was not retried because it crashes upstreams".to_owned());
     } else if end.value("over_budget") == "true" {
-        parts.push("it was not retried because the retry budget was empty".to_owned());
+        parts.push(
+            "it was not retried because the retry budget was empty or kept for greater need"
+                .to_owned(),
+        );
     } else if outcome != "not-run" && attempts <= 1 {
         parts.push("it was not retried: it is not idempotent, or no time was left".to_owned());
     }
+    if end.value("call") == "true" {
+        let rank = end.value("rank");
+        parts.push(format!("it was taken for a call of a running request of rank {rank}"));
+    }
     let attempts = request_lines.iter().filter(|line| line.value("event") == "attempt");
     let not_run = attempts.filter(|line| line.value("outcome") == "not-run");
     let slowest = not_run.max_by_key(|line| line.number("took_ms"));
--- a/crates/lynxmast/src/request_trace/tests.rs
+++ b/crates/lynxmast/src/request_trace/tests.rs
@@ -62,3 +62,13 @@
     assert!(trace.cause().contains(expected), "{}", trace.cause());
     assert!(!trace.cause().contains("were spent at sidecar"), "{}", trace.cause());
 }
+
+/// Guards against an explanation that leaves out why a request was ordered as it was.
+#[test]
+fn cause_states_that_the_request_was_taken_for_a_call() {
+    let log = log("2026-02-17T04:11:44.100Z INFO event=request id=a1 outcome=not-run \
+                reason=queue-full attempts=0 call=true rank=2");
+    let trace = RequestTrace::collect("a1", &log).expect("the log has the request");
+    let cause = trace.cause();
+    assert!(cause.contains("taken for a call of a running request of rank 2"), "{cause}");
+}
--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -33,6 +33,8 @@
     pub may_resend: bool,
     /// Whether the request has already been sent to a backend server.
     pub is_retry: bool,
+    /// Whether the request is a retry of which it is known that no earlier attempt has run it.
+    pub not_run: bool,
     /// Probability that the request is a call made by a backend server while serving a retry, from
     /// 0 to 1.
     pub retry_probability: f64,
@@ -75,6 +77,7 @@
     ///     policy: 7,
     ///     may_resend: false,
     ///     is_retry: false,
+    ///     not_run: false,
     ///     retry_probability: 0.0,
     ///     risk: Default::default(),
     ///     rank: 0,
@@ -93,7 +96,7 @@
         put(headers, header::POLICY_VERSION, &self.policy.to_string());
         put(headers, header::MAY_RESEND, &self.may_resend.to_string());
         if self.is_retry {
-            put(headers, header::RETRY, "true");
+            put(headers, header::RETRY, if self.not_run { header::RETRY_NOT_RUN } else { "true" });
         }
         if self.retry_probability > 0.0 {
             put(headers, header::RETRY_PROBABILITY, &self.retry_probability.to_string());
@@ -129,6 +132,7 @@
             policy: get(headers, header::POLICY_VERSION)?,
             may_resend: get(headers, header::MAY_RESEND)?,
             is_retry: headers.contains_key(header::RETRY),
+            not_run: headers.get(header::RETRY).is_some_and(|v| v == header::RETRY_NOT_RUN),
             retry_probability: read_probability(headers, header::RETRY_PROBABILITY),
             risk: read_risk(headers),
             rank: single(headers, header::RANK).unwrap_or(0),
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -60,3 +60,28 @@
     headers.append(header::TIME_LEFT_US, HeaderValue::from_static("6"));
     assert!(get::<u64>(&headers, header::TIME_LEFT_US).is_err());
 }
+
+/// Guards against a retry of which the sidecar learns neither that it is one nor how much it needs it.
+#[test_case(false, false; "first attempt")]
+#[test_case(true, false; "an earlier attempt may have run")]
+#[test_case(true, true; "no earlier attempt has run")]
+fn a_retry_round_trips_through_headers(is_retry: bool, not_run: bool) {
+    let address = std::net::SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 1));
+    let envelope = Envelope {
+        upstream: ids::UpstreamId { service: "media".into(), address },
+        organisation: "public".into(),
+        time_left: time::Duration::from_millis(250),
+        policy: 7,
+        may_resend: false,
+        is_retry,
+        not_run,
+        retry_probability: 0.0,
+        risk: Default::default(),
+        rank: 1,
+        objective: None,
+        is_call: true,
+    };
+    let mut headers = HeaderMap::new();
+    envelope.write(&mut headers);
+    assert_eq!(Envelope::read(&headers), Ok(envelope));
+}
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -33,8 +33,11 @@
 /// connection.
 pub const MAY_RESEND: &str = "lynxmast-idempotent";
 
-/// Ingress to sidecar: present if the request has already been sent to a backend server.
+/// Ingress to sidecar: present if the request has already been sent to a backend server; the value is
+/// [`RETRY_NOT_RUN`] if none can have run it.
 pub const RETRY: &str = "lynxmast-repeat";
+/// Value of [`RETRY`] if no earlier attempt can have run the request.
+pub const RETRY_NOT_RUN: &str = "not-run";
 /// Ingress to sidecar: probability that the request is a call made by a backend server while serving
 /// a retry, from 0 to 1; absent for 0.
 pub const RETRY_PROBABILITY: &str = "lynxmast-repeat-probability";
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -7,6 +7,7 @@
 use crate::load;
 use crate::outcome;
 use crate::outlier;
+use crate::precedence;
 use crate::priority;
 use crate::request_limit;
 use crate::slot_usage;
@@ -122,6 +123,8 @@
     fair_usage: statistics::MovingAverage,
     /// Slots recently taken, by priority.
     slot_usage: slot_usage::SlotUsage,
+    /// Recent arrivals and starts, by kind of request.
+    served_shares: precedence::ServedShares,
     /// Limit that the backend server names.
     limiter: request_limit::RequestLimiter,
 }
@@ -164,6 +167,7 @@
             excess_in_use: 0,
             fair_usage: statistics::MovingAverage::new(FAIR_USAGE_HALF_LIFE),
             slot_usage: slot_usage::SlotUsage::default(),
+            served_shares: Default::default(),
             limiter: request_limit::RequestLimiter::default(),
         }
     }
@@ -236,7 +240,11 @@
         if arrival.deadline <= now {
             return Decision::Reject(item, outcome::Rejection::DeadlineBeforeRun);
         }
-        let class = self.share_class(Some(&arrival.organisation), now);
+        self.served_shares.record_arrival(&arrival.priority, now);
+        let class = match arrival.priority.is_call {
+            true => ShareClass::Fair,
+            false => self.share_class(Some(&arrival.organisation), now),
+        };
         if self.queue.is_empty() && self.has_slot(class, now) {
             self.queue.charge(&arrival.organisation, arrival.weight, now);
             self.take_slot(class, &arrival.priority, now);
@@ -259,7 +267,9 @@
         self.next_ticket += 1;
         let Arrival { priority, risk, .. } = *arrival;
         let waiting = QueuedRequest { ticket, until, priority, risk, item };
-        match self.queue.push(&arrival.organisation, arrival.weight, waiting, now) {
+        let precedence = self.served_shares.precedence(now);
+        let class = |waiting: &QueuedRequest<T>| precedence.class(&waiting.priority);
+        match self.queue.push_by_class(&arrival.organisation, arrival.weight, waiting, class, now) {
             fair_queue::PushResult::Queued => Decision::Queue { ticket, until, evicted: None },
             fair_queue::PushResult::Evicted(old) => {
                 Decision::Queue { ticket, until, evicted: Some(old.item) }
@@ -292,13 +302,24 @@
     pub fn dequeue(&mut self, now: time::Instant) -> Vec<Dequeued<T>> {
         self.add_credit(now);
         let mut dequeued = self.reject_expired(now);
-        loop {
-            let class = self.share_class(None, now);
+        while !self.queue.is_empty() {
+            let precedence = self.served_shares.precedence(now);
+            let class_of = |waiting: &QueuedRequest<T>| precedence.class(&waiting.priority);
+            let first = self.queue.min_by(class_of).unwrap_or(priority::Class::New);
+            // Organisations take turns in the next class only. What takes precedence is within the
+            // share of its parent or of its kind.
+            let class = match first {
+                priority::Class::New => self.share_class(None, now),
+                priority::Class::Underserved | priority::Class::Call => ShareClass::Fair,
+            };
             if !self.has_slot(class, now) {
                 break;
             }
             let mean = self.service_time().unwrap_or_default();
-            let next = self.queue.pop_min_by_key(|waiting| waiting.priority.order(mean, now));
+            let next = self.queue.pop_first_by_key(
+                |waiting| class_of(waiting) == first,
+                |waiting| waiting.priority.order_in(first, mean, now),
+            );
             let Some(waiting) = next else { break };
             self.take_slot(class, &waiting.priority, now);
             dequeued.push(Dequeued::Admit(waiting.item, class));
@@ -366,7 +387,9 @@
         self.in_use += 1;
         self.limiter.charge(now);
         let mean = self.service_time().unwrap_or_default();
-        self.slot_usage.record(priority.order(mean, now), now);
+        let precedence = self.served_shares.precedence(now);
+        self.slot_usage.record(priority.order_in(precedence.class(priority), mean, now), now);
+        self.served_shares.record_start(priority, now);
         match class {
             ShareClass::Fair => self.fair_usage.record(1.0, now),
             ShareClass::Excess => self.excess_in_use += 1,
@@ -406,16 +429,21 @@
         let max_wait = self.limits.max_wait.min(arrival.deadline - now);
         let limit_wait = self.limiter.wait(self.queue.len() + 1, now);
         let mean = self.service_time();
+        let precedence = self.served_shares.precedence(now);
         // Another upstream is likely to start the request sooner than one that has reached its limit.
         let limit_wait_max = mean.unwrap_or_default().max(LIMIT_WAIT_MIN).min(max_wait);
         if limit_wait > limit_wait_max {
             return Err(outcome::Rejection::Limited);
         }
         let Some(mean) = mean else { return Ok(now + max_wait) };
-        let wait = self.expected_wait(arrival, mean, now).max(limit_wait);
+        let wait = self.expected_wait(arrival, mean, precedence, now).max(limit_wait);
         if wait > max_wait {
             return Err(outcome::Rejection::WaitTooLong);
         }
+        if precedence.class(&arrival.priority) == priority::Class::Call {
+            // A call is useful as long as its parent can still respond.
+            return Ok(now + max_wait);
+        }
         let end = now + wait + mean;
         if let Some(latest) = arrival.priority.latest_start(mean, now)
             && arrival.priority.meets_objective(end)
@@ -443,11 +471,24 @@
         &self,
         arrival: &Arrival,
         mean: time::Duration,
+        precedence: precedence::Precedence,
         now: time::Instant,
     ) -> time::Duration {
-        let order = arrival.priority.order(mean, now);
-        let is_ahead = |waiting: &QueuedRequest<T>| waiting.priority.order(mean, now) <= order;
-        let ahead = self.queue.count_ahead(&arrival.organisation, arrival.weight, is_ahead) + 1;
+        let order_of = |priority: &priority::Priority| {
+            priority.order_in(precedence.class(priority), mean, now)
+        };
+        let order = order_of(&arrival.priority);
+        let is_ahead = |waiting: &QueuedRequest<T>| order_of(&waiting.priority) <= order;
+        let ahead = match order.class() {
+            priority::Class::New => {
+                let takes_precedence = |waiting: &QueuedRequest<T>| {
+                    precedence.class(&waiting.priority) < priority::Class::New
+                };
+                let Arrival { organisation, weight, .. } = arrival;
+                self.queue.count_ahead(organisation, *weight, is_ahead, takes_precedence)
+            }
+            priority::Class::Underserved | priority::Class::Call => self.queue.count(is_ahead),
+        } + 1;
         let slots = self.open_slots(now);
         let remaining =
             self.slot_usage.remaining_share(order, mean, slots, now).max(REMAINING_SHARE_MIN);
--- a/crates/state/src/fair_queue.rs
+++ b/crates/state/src/fair_queue.rs
@@ -1,5 +1,6 @@
 //! Bounded queue with weighted fairness between organisations.
 
+use std::cmp;
 use std::collections;
 use std::time;
 
@@ -96,12 +97,14 @@
     }
 
     /// Returns the maximum number of queued items that are served before a new one of
-    /// `organisation`. `is_ahead` selects those of the same organisation that go first.
+    /// `organisation`. `is_ahead` selects those of the same organisation that go first, `is_first`
+    /// those of all organisations that [`FairQueue::pop_first_by_key`] prefers.
     pub fn count_ahead(
         &self,
         organisation: &str,
         weight: u32,
         is_ahead: impl Fn(&T) -> bool,
+        is_first: impl Fn(&T) -> bool,
     ) -> usize {
         let waiting = self.flows.get(organisation).map(|flow| flow.waiting.iter());
         let own_ahead = waiting.into_iter().flatten().filter(|item| is_ahead(item)).count();
@@ -109,7 +112,8 @@
         let others = self.flows.iter().filter(|(name, _)| &***name != organisation);
         let served_first = |flow: &Flow<T>| {
             let quota = (rounds * flow.weight).ceil() as usize;
-            quota.min(flow.waiting.len())
+            let first = flow.waiting.iter().filter(|item| is_first(item)).count();
+            quota.min(flow.waiting.len()).max(first)
         };
         own_ahead + others.map(|(_, flow)| served_first(flow)).sum::<usize>()
     }
@@ -146,12 +150,37 @@
         weight: u32,
         item: T,
         now: time::Instant,
+    ) -> PushResult<T> {
+        self.push_by_class(organisation, weight, item, |_| (), now)
+    }
+
+    /// Adds an item of an organisation. A full queue evicts the newest item of the largest class if
+    /// that is larger than the class of `item`; otherwise the item only competes with those of its
+    /// own class.
+    pub fn push_by_class<K: Ord>(
+        &mut self,
+        organisation: &ids::OrganisationName,
+        weight: u32,
+        item: T,
+        class: impl Fn(&T) -> K,
+        now: time::Instant,
     ) -> PushResult<T> {
         let mut evicted = None;
         if self.length >= self.capacity {
-            match self.largest_backlog(organisation, f64::from(weight.max(1))) {
-                Some(index) => evicted = self.evict_newest(index),
-                None => return PushResult::Full(item),
+            let own_class = class(&item);
+            let waiting = self.flows.values().flat_map(|flow| &flow.waiting);
+            let last_class = waiting.map(&class).max();
+            let is_last = |other: &T| last_class.as_ref() == Some(&class(other));
+            let backlog = match last_class.as_ref().map(|last| last.cmp(&own_class)) {
+                None | Some(cmp::Ordering::Less) => None,
+                Some(cmp::Ordering::Equal) => {
+                    self.largest_backlog(organisation, f64::from(weight.max(1)), is_last)
+                }
+                Some(cmp::Ordering::Greater) => self.largest_backlog_of_all(is_last),
+            };
+            evicted = backlog.and_then(|index| self.evict_newest(index, is_last));
+            if evicted.is_none() {
+                return PushResult::Full(item);
             }
         }
         self.flow(organisation, weight, now).waiting.push_back(item);
@@ -186,6 +215,11 @@
         waiting.filter(|item| predicate(item)).count()
     }
 
+    /// Returns the smallest key of all queued items; `None` if the queue is empty.
+    pub fn min_by<K: Ord>(&self, key: impl Fn(&T) -> K) -> Option<K> {
+        self.flows.values().flat_map(|flow| &flow.waiting).map(key).min()
+    }
+
     /// Removes and returns the next item, which is the oldest of its organisation; `None` if the
     /// queue is empty.
     pub fn pop(&mut self) -> Option<T> {
@@ -195,11 +229,23 @@
     /// Removes and returns the next item: the oldest of those with the smallest key in the
     /// organisation to be served next. `None` if the queue is empty.
     pub fn pop_min_by_key<K: Ord>(&mut self, key: impl Fn(&T) -> K) -> Option<T> {
+        self.pop_first_by_key(|_| true, key)
+    }
+
+    /// Removes and returns the next of the items that satisfy `is_first`: the oldest of those with
+    /// the smallest key in the organisation to be served next among those that have any. `None` if
+    /// no item satisfies it.
+    pub fn pop_first_by_key<K: Ord>(
+        &mut self,
+        is_first: impl Fn(&T) -> bool,
+        key: impl Fn(&T) -> K,
+    ) -> Option<T> {
         let virtual_time = self.virtual_time;
-        let waiting = self.flows.values_mut().filter(|flow| !flow.waiting.is_empty());
+        let waiting = self.flows.values_mut().filter(|flow| flow.waiting.iter().any(&is_first));
         let next = waiting
             .min_by(|a, b| a.start_time(virtual_time).total_cmp(&b.start_time(virtual_time)))?;
-        let (first, _) = next.waiting.iter().enumerate().min_by_key(|(_, item)| key(item))?;
+        let candidates = next.waiting.iter().enumerate().filter(|(_, item)| is_first(item));
+        let (first, _) = candidates.min_by_key(|(_, item)| key(item))?;
         let item = next.waiting.remove(first)?;
         next.charge(virtual_time);
         self.length -= 1;
@@ -239,25 +285,39 @@
         flow
     }
 
-    /// Returns the index of the flow with the largest backlog relative to its weight, or `None` if
-    /// that of `organisation`, with one more item, would be at least as large.
-    fn largest_backlog(&self, organisation: &str, weight: f64) -> Option<usize> {
-        let own_waiting = self.flows.get(organisation).map_or(0, |flow| flow.waiting.len());
+    /// Returns the index of the flow with the largest backlog of the items that satisfy `counts`,
+    /// relative to its weight, or `None` if that of `organisation`, with one more item, would be at
+    /// least as large.
+    fn largest_backlog(
+        &self,
+        organisation: &str,
+        weight: f64,
+        counts: impl Fn(&T) -> bool,
+    ) -> Option<usize> {
+        let own_waiting = self.flows.get(organisation).map_or(0, |flow| flow.count(&counts));
         let own_backlog = (own_waiting + 1) as f64 / weight;
-        let backlog = |flow: &Flow<T>| flow.waiting.len() as f64 / flow.weight;
         let others =
             self.flows.iter().enumerate().filter(|(_, (name, _))| &***name != organisation);
         let (index, longest) = others
-            .map(|(index, (_, flow))| (index, backlog(flow)))
+            .map(|(index, (_, flow))| (index, flow.count(&counts) as f64 / flow.weight))
             .max_by(|a, b| a.1.total_cmp(&b.1))?;
         (longest > own_backlog).then_some(index)
     }
 
-    fn evict_newest(&mut self, index: usize) -> Option<T> {
+    /// Returns the index of the flow with the largest backlog of the items that satisfy `counts`,
+    /// relative to its weight.
+    fn largest_backlog_of_all(&self, counts: impl Fn(&T) -> bool) -> Option<usize> {
+        let backlogs = self.flows.values().map(|flow| flow.count(&counts) as f64 / flow.weight);
+        backlogs.enumerate().max_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+    }
+
+    /// Removes the newest item of a flow that satisfies `may_evict`.
+    fn evict_newest(&mut self, index: usize, may_evict: impl Fn(&T) -> bool) -> Option<T> {
         let (_, flow) = self.flows.get_index_mut(index)?;
-        let newest = flow.waiting.pop_back()?;
+        let newest = flow.waiting.iter().rposition(may_evict)?;
+        let item = flow.waiting.remove(newest)?;
         self.length -= 1;
-        Some(newest)
+        Some(item)
     }
 
     /// Advances virtual time so that the smallest finish time of a waiting organisation leads it by
@@ -286,6 +346,10 @@
         self.finish_time.max(virtual_time - CREDIT_MAX)
     }
 
+    fn count(&self, counts: impl Fn(&T) -> bool) -> usize {
+        self.waiting.iter().filter(|item| counts(item)).count()
+    }
+
     fn charge(&mut self, virtual_time: f64) {
         self.finish_time = self.start_time(virtual_time) + 1.0 / self.weight;
     }
--- a/crates/state/src/priority.rs
+++ b/crates/state/src/priority.rs
@@ -1,6 +1,7 @@
 //! Priority of queued requests while load exceeds the slots.
 //!
-//! A response within its objective is worth most, so requests that can still meet theirs go first,
+//! Calls of running requests go before new requests, within the bounds of [`crate::precedence`]. A
+//! response within its objective is worth most, so requests that can still meet theirs go next,
 //! ordered by rank; late ones share the remaining slots. Without this order, once the queueing
 //! delay exceeds the objective, every response would be late for as long as the overload lasts.
 
@@ -35,18 +36,36 @@
     pub is_call: bool,
 }
 
+/// Class of a request at an upstream that is short of slots; the smallest is served first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Request of a kind that is served too seldom.
+    Underserved,
+    /// Call of a running request.
+    Call,
+    /// Any other request.
+    New,
+}
+
 /// Service order of a request; the smallest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Order {
+    class: Class,
     is_late: bool,
     rank: u32,
 }
 
 impl Priority {
     /// Returns the order of a request that would start at `now` and run for `mean`, the mean
-    /// service time.
+    /// service time, while no kind of request is served too seldom.
     pub fn order(&self, mean: time::Duration, now: time::Instant) -> Order {
-        Order { is_late: !self.meets_objective(now + mean), rank: self.rank }
+        self.order_in(if self.is_call { Class::Call } else { Class::New }, mean, now)
+    }
+
+    /// Returns the order of a request of `class` that would start at `now` and run for `mean`, the
+    /// mean service time.
+    pub fn order_in(&self, class: Class, mean: time::Duration, now: time::Instant) -> Order {
+        Order { class, is_late: !self.meets_objective(now + mean), rank: self.rank }
     }
 
     /// Returns the latest time at which a request that runs for `mean` can start and still meet its
@@ -62,5 +81,12 @@
     }
 }
 
+impl Order {
+    /// Returns the class of the request.
+    pub fn class(self) -> Class {
+        self.class
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/upstream_budget.rs
+++ b/crates/state/src/upstream_budget.rs
@@ -8,6 +8,7 @@
 use std::f64::consts::LN_2;
 use std::time;
 
+use crate::retry_need;
 use crate::statistics;
 
 /// Retry budget of a service that its upstreams share.
@@ -38,7 +39,8 @@
 /// for _ in 0..20 {
 ///     budget.record_first_attempt(&fleet, 0.0, now);
 /// }
-/// let allowed = (0..20).filter(|_| budget.withdraw(&fleet, now)).count();
+/// let need = lynxmast_state::retry_need::RetryNeed { is_call: true, ..Default::default() };
+/// let allowed = (0..20).filter(|_| budget.withdraw(&fleet, &need, now)).count();
 /// assert_eq!(allowed, 2);
 /// ```
 #[derive(Debug, Clone)]
@@ -98,10 +100,18 @@
         self.limit(fleet, now);
     }
 
-    /// Takes one retry from the budget. Returns `false` if none is left.
-    pub fn withdraw(&mut self, fleet: &FleetBudget, now: time::Instant) -> bool {
+    /// Takes one retry from the budget. Returns `false` if none is left besides those reserved for
+    /// requests in greater need.
+    pub fn withdraw(
+        &mut self,
+        fleet: &FleetBudget,
+        need: &retry_need::RetryNeed,
+        now: time::Instant,
+    ) -> bool {
         self.refill(fleet, now);
-        let is_allowed = self.tokens >= 1.0;
+        // With savings of one retry nothing can be reserved, or most requests would get none.
+        let reserved = need.reserved() * (self.savings(fleet, now) - 1.0).max(0.0);
+        let is_allowed = self.tokens >= 1.0 + reserved;
         if is_allowed {
             self.tokens -= 1.0;
         }
@@ -137,9 +147,13 @@
 
     /// Discards what exceeds the savings.
     fn limit(&mut self, fleet: &FleetBudget, now: time::Instant) {
+        self.tokens = self.tokens.min(self.savings(fleet, now).max(1.0));
+    }
+
+    /// Returns the number of retries that can be saved up.
+    fn savings(&self, fleet: &FleetBudget, now: time::Instant) -> f64 {
         let earned = fleet.ratio * self.first_attempts.weight(now);
-        let savings = fleet.upstream_reserve() * SAVED_FRACTION + earned;
-        self.tokens = self.tokens.min(savings.max(1.0));
+        fleet.upstream_reserve() * SAVED_FRACTION + earned
     }
 }
 
--- a/crates/state/src/upstream_budget/tests.rs
+++ b/crates/state/src/upstream_budget/tests.rs
@@ -22,8 +22,22 @@
     failing: std::ops::Range<u32>,
     /// Seconds at whose start all sidecars restart.
     restarts: &'static [u32],
+    /// Need of the requests that fail.
+    need: retry_need::RetryNeed,
 }
 
+const CALL: retry_need::RetryNeed =
+    retry_need::RetryNeed { is_call: true, rank: 0, not_run: true, is_on_time: true, success: 1.0 };
+const URGENT: retry_need::RetryNeed = retry_need::RetryNeed { is_call: false, ..CALL };
+/// Need of a request that comes after all others.
+const LAST: retry_need::RetryNeed = retry_need::RetryNeed {
+    is_call: false,
+    rank: 2,
+    not_run: false,
+    is_on_time: false,
+    success: 0.0,
+};
+
 /// What a service was allowed and what it used.
 struct Usage {
     /// First attempts and retries, by tenth of a second.
@@ -56,7 +70,8 @@
                 continue;
             }
             let (asked, _) = order.partial_shuffle(&mut rng, ASKED);
-            let is_allowed = asked.iter().any(|&index| budgets[index].withdraw(fleet, now));
+            let is_allowed =
+                asked.iter().any(|&index| budgets[index].withdraw(fleet, &load.need, now));
             retries += u32::from(is_allowed);
             usage.denied += u32::from(!is_allowed);
         }
@@ -108,28 +123,39 @@
     restarts: &'static [u32],
 ) {
     let upstreams = fleet.upstreams;
-    let load = Load { upstreams, rate, failure_share, failing: 10..25, restarts };
+    let load = Load { upstreams, rate, failure_share, failing: 10..25, restarts, need: CALL };
     let excess = play(&load, fleet).excess(RATIO, fleet.reserve * 2.0);
     assert!(excess <= 0.0, "{excess} retries too many");
 }
 
-#[test_case(&SMALL, 120; "small fleet")]
-#[test_case(&LARGE, 1040; "large fleet, of which each daemon sees few requests")]
+#[test_case(&SMALL, 120, CALL; "small fleet")]
+#[test_case(&LARGE, 1040, CALL; "large fleet, of which each daemon sees few requests")]
+#[test_case(&SMALL, 120, URGENT; "small fleet, urgent requests")]
+#[test_case(&LARGE, 1040, URGENT; "large fleet, urgent requests")]
+#[test_case(&SMALL, 120, LAST; "small fleet, requests that come last")]
+#[test_case(&LARGE, 1040, LAST; "large fleet, requests that come last")]
 fn no_retry_is_denied_while_the_fleet_has_used_less_than_four_fifths(
     fleet: &FleetBudget,
     rate: u32,
+    need: retry_need::RetryNeed,
 ) {
     // What fails needs four fifths of what the first attempts earn.
     let failure_share = fleet.ratio * 0.8;
-    let load =
-        Load { upstreams: fleet.upstreams, rate, failure_share, failing: 3..30, restarts: &[] };
+    let upstreams = fleet.upstreams;
+    let load = Load { upstreams, rate, failure_share, failing: 3..30, restarts: &[], need };
     let usage = play(&load, fleet);
     assert_eq!(usage.denied, 0, "of {}", usage.retries() + usage.denied);
 }
 
-#[test_case(&SMALL, 120; "small fleet")]
-#[test_case(&LARGE, 1040; "large fleet")]
-fn a_burst_of_failures_can_use_what_all_upstreams_have_saved(fleet: &FleetBudget, rate: u32) {
+#[test_case(&SMALL, 120, CALL; "small fleet")]
+#[test_case(&LARGE, 1040, CALL; "large fleet")]
+#[test_case(&SMALL, 120, URGENT; "small fleet, urgent requests")]
+#[test_case(&LARGE, 1040, URGENT; "large fleet, urgent requests")]
+fn a_burst_of_failures_can_use_what_all_upstreams_have_saved(
+    fleet: &FleetBudget,
+    rate: u32,
+    need: retry_need::RetryNeed,
+) {
     // Half of the requests fail in one second, as after the loss of many upstreams.
     let load = Load {
         upstreams: fleet.upstreams,
@@ -137,6 +163,7 @@
         failure_share: 0.5,
         failing: 20..21,
         restarts: &[],
+        need,
     };
     let saved = fleet.reserve * SAVED_FRACTION + fleet.ratio * f64::from(rate) * 2.5;
     let usage = play(&load, fleet);
@@ -152,7 +179,7 @@
     let mut budget = UpstreamBudget::new(now);
     let allowed = (0..100).filter(|_| {
         budget.record_first_attempt(&fleet, 0.2, now);
-        budget.withdraw(&fleet, now)
+        budget.withdraw(&fleet, &CALL, now)
     });
     assert_eq!(allowed.count(), 1, "only the retry granted at first");
 }
@@ -164,7 +191,7 @@
     let start = time::Instant::now();
     let mut budget = UpstreamBudget::new(start);
     let mut withdraw_all =
-        |now| std::iter::from_fn(|| budget.withdraw(&fleet, now).then_some(())).count();
+        |now| std::iter::from_fn(|| budget.withdraw(&fleet, &CALL, now).then_some(())).count();
     assert_eq!(withdraw_all(start + RESERVE_DELAY / 2), 1);
     assert!(withdraw_all(start + RESERVE_DELAY) > 1);
 }
@@ -178,7 +205,7 @@
     let retries = (0..40_u32).filter(|second| {
         let now = start + time::Duration::from_secs(1) * *second;
         budget.record_first_attempt(&fleet, 0.0, now);
-        budget.withdraw(&fleet, now)
+        budget.withdraw(&fleet, &CALL, now)
     });
     let retries = retries.count();
     assert!((20..=28).contains(&retries), "{retries} of 40");
@@ -189,9 +216,36 @@
     let fleet = FleetBudget { ratio: 1.0, reserve: 0.0, window: WINDOW, upstreams: 1 };
     let now = time::Instant::now();
     let mut budget = UpstreamBudget::new(now);
-    assert!(budget.withdraw(&fleet, now));
+    assert!(budget.withdraw(&fleet, &CALL, now));
     assert_eq!(budget.retries_left(), 0);
     budget.refund();
     assert_eq!(budget.retries_left(), 1);
-    assert!(budget.withdraw(&fleet, now) && !budget.withdraw(&fleet, now));
+    assert!(budget.withdraw(&fleet, &CALL, now) && !budget.withdraw(&fleet, &CALL, now));
+}
+
+/// Half of the arrivals of one upstream are rejected for 8 s, of two ranks and of calls, in random
+/// order. Guards against retries that go to whoever asks first.
+#[test]
+fn half_of_the_arrivals_rejected_for_8_s_retries_go_to_calls_then_by_rank() {
+    let kinds = [CALL, URGENT, LAST];
+    let (mut asked, mut granted) = ([0_u32; 3], [0_u32; 3]);
+    for seed in 0..8 {
+        let mut rng = rngs::SmallRng::seed_from_u64(seed);
+        let start = time::Instant::now();
+        let mut budget = UpstreamBudget::new(start);
+        for number in 0..2000_u32 {
+            let now = start + time::Duration::from_millis(10) * number;
+            budget.record_first_attempt(&SMALL, 0.0, now);
+            if number < 1200 || !rng.random_bool(0.5) {
+                continue;
+            }
+            // One in ten is a call.
+            let kind = [0, 1, 1, 1, 1, 1, 2, 2, 2, 2][rng.random_range(0..10)];
+            asked[kind] += 1;
+            granted[kind] += u32::from(budget.withdraw(&SMALL, &kinds[kind], now));
+        }
+    }
+    let [calls, urgent, last] = [0, 1, 2].map(|kind| granted[kind] as f64 / asked[kind] as f64);
+    assert!(calls > 0.95, "{calls:.2} of the calls");
+    assert!(urgent > 3.0 * last, "{urgent:.2} of the urgent, {last:.2} of the last");
 }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Ingress: accepts callers' requests, selects upstreams, retries failed attempts and responds.
 
 mod attempt;
+mod call;
 mod head;
 mod hedge;
 mod outstanding;
@@ -25,6 +26,7 @@
 use lynxmast_state::progress;
 use lynxmast_state::retry;
 use lynxmast_state::router;
+use lynxmast_state::running;
 use lynxmast_state::sampling;
 use lynxmast_state::shared_state;
 use rand::Rng;
@@ -79,6 +81,8 @@
     body: replay::ReplayBuffer,
     arrived: time::Instant,
     deadline: time::Instant,
+    /// Running request of which this one is probably a call.
+    parent: Option<running::Running>,
 }
 
 impl RequestContext {
@@ -136,6 +140,8 @@
 struct AttemptOptions {
     /// Whether an earlier attempt reached a backend server.
     is_retry: bool,
+    /// Whether it is known that no earlier attempt has run the request.
+    not_run: bool,
     /// Risk tolerance, which limits the failure probability of the upstream.
     risk: outlier::RiskTolerance,
     /// Whether another attempt may follow if this one is lost.
@@ -264,6 +270,7 @@
         let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
         let policy_version = policy.version;
         let deadline = arrived + timeout;
+        let parent = self.find_parent(&parsed, &route_match, arrived);
         Ok(RequestContext {
             route_match,
             policy_version,
@@ -274,6 +281,7 @@
             body,
             arrived,
             deadline,
+            parent,
         })
     }
 
@@ -408,7 +416,8 @@
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let risk = context.risk_tolerance(progress, self.may_probe(context));
         let may_retry = context.has_attempt_after_next(progress) && context.body.is_replayable();
-        let options = AttemptOptions { is_retry: progress.attempts > 0, risk, may_retry };
+        let (is_retry, not_run) = (progress.attempts > 0, progress.may_have_run.is_none());
+        let options = AttemptOptions { is_retry, not_run, risk, may_retry };
         let mut primary = std::pin::pin!(self.try_upstream(context, first, options));
         let Some(hedge_delay) = self.hedge_delay(context) else { return primary.await };
         if let Ok(result) = tokio::time::timeout(hedge_delay, &mut primary).await {
@@ -416,7 +425,7 @@
         }
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge_options = AttemptOptions { is_retry: true, risk, may_retry };
+        let hedge_options = AttemptOptions { is_retry: true, not_run: false, risk, may_retry };
         let hedge = self.try_upstream(context, second, hedge_options);
         let is_success = |response: &http::Response<_>| !response.status().is_server_error();
         let outcome = hedge::first_success(primary, hedge, is_success).await;
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -42,16 +42,17 @@
         let started = self.shared.now();
         let envelope = envelope::Envelope {
             upstream: outstanding.candidate.id.clone(),
-            organisation: context.route_match.organisation.clone(),
+            organisation: context.charged_organisation().clone(),
             time_left: context.deadline.saturating_duration_since(started),
             policy: context.policy_version,
             may_resend: context.may_resend(),
             is_retry: options.is_retry,
+            not_run: options.is_retry && options.not_run,
             retry_probability: self.retry_probability(&context.route_match.service),
             risk: options.risk,
-            rank: context.route_match.rank,
-            objective: context.objective_remaining(started),
-            is_call: false,
+            rank: context.rank(),
+            objective: context.objective_left(started),
+            is_call: context.is_call(),
         };
         let response = if outstanding.candidate.daemon == self.own_daemon {
             self.send_to_local_sidecar(context, &envelope, &mut outstanding).await
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -81,6 +81,8 @@
             asked = progress.contacted(),
             over_budget = progress.over_budget,
             quarantined = progress.is_quarantined,
+            call = context.is_call(),
+            rank = context.rank(),
             took_ms = now.saturating_duration_since(context.arrived).as_millis() as u64,
             left_ms = context.deadline.saturating_duration_since(now).as_millis() as u64;
             "request failed"
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! does not respond and the ingress allows it to be resent. A request that the sidecar rejects has not been forwarded.
 
 mod announcements;
+mod calls;
 mod departed;
 mod forwarding;
 
@@ -25,6 +26,7 @@
 use lynxmast_state::policy::service;
 use lynxmast_state::priority;
 use lynxmast_state::retry;
+use lynxmast_state::running;
 use lynxmast_state::shared_state;
 use lynxmast_state::upstream_budget;
 
@@ -333,7 +335,16 @@
         }
         let budget = self.fleet_budget(service);
         let withdrawn = budget.filter(|_| envelope.is_retry);
-        if withdrawn.is_some_and(|budget| !upstream.withdraw_retry(&budget, now)) {
+        if let Some(budget) = withdrawn
+            && let need = calls::retry_need(envelope, &priority, upstream, now)
+            && !upstream.withdraw_retry(&budget, &need, now)
+        {
+            metrics::counter!(
+                "lynxmast_retries_denied_total",
+                "service" => service.name.to_string(),
+                "call" => if need.is_call { "true" } else { "false" }
+            )
+            .increment(1);
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(|rejection| {
@@ -354,7 +365,9 @@
                 upstream::RequestKind::NotRetryable
             }
         };
-        let slot = slot.with_kind(kind);
+        let organisation = envelope.organisation.clone();
+        let running = running::Running { deadline, organisation, rank: envelope.rank, objective };
+        let slot = slot.with_kind(kind).with_running(running);
         Ok((slot, service.stall))
     }
 
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -13,6 +13,8 @@
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
 use lynxmast_state::request_limit;
+use lynxmast_state::retry_need;
+use lynxmast_state::running;
 use lynxmast_state::upstream_budget;
 use tokio::sync::oneshot;
 
@@ -42,6 +44,8 @@
     retryable: atomic::AtomicU32,
     /// Requests in flight that have not been counted as overdue.
     pending: sync::Mutex<PendingRequests>,
+    /// Requests that hold a slot.
+    running: sync::Mutex<running::RunningRequests>,
     /// Last check whether the backend server still runs.
     liveness: tokio::sync::Mutex<Option<LivenessCheck>>,
     /// Incarnation that was last found to have crashed; 0 if none was.
@@ -101,6 +105,8 @@
     acquired: time::Instant,
     forwarded: atomic::AtomicBool,
     kind: RequestKind,
+    /// Number among the running requests of the upstream.
+    running: Option<running::Number>,
 }
 
 /// Whether a request may be forwarded to a backend server more than once, or has been.
@@ -137,6 +143,7 @@
             retries: Default::default(),
             retryable: Default::default(),
             pending: Default::default(),
+            running: Default::default(),
             liveness: Default::default(),
             crashed: Default::default(),
             last_response,
@@ -154,9 +161,26 @@
         self.retryable.load(atomic::Ordering::Acquire)
     }
 
-    /// Takes a retry from the upstream's part of the `fleet` budget. Returns `false` if none is left.
-    pub fn withdraw_retry(&self, fleet: &upstream_budget::FleetBudget, now: time::Instant) -> bool {
-        lock(&self.budget).withdraw(fleet, now)
+    /// Takes a retry from the upstream's part of the `fleet` budget. Returns `false` if none is left
+    /// besides those reserved for requests in greater need.
+    pub fn withdraw_retry(
+        &self,
+        fleet: &upstream_budget::FleetBudget,
+        need: &retry_need::RetryNeed,
+        now: time::Instant,
+    ) -> bool {
+        lock(&self.budget).withdraw(fleet, need, now)
+    }
+
+    /// Returns the running request that expires when a call does, with the difference of the two
+    /// deadlines; `None` if there is none.
+    pub fn find_parent(
+        &self,
+        deadline: time::Instant,
+    ) -> Option<(time::Duration, running::Running)> {
+        let running = lock(&self.running);
+        let parent = running.find_parent(deadline)?;
+        Some((running::distance(parent.deadline, deadline), parent.clone()))
     }
 
     /// Returns a retry that was not forwarded to the budget.
@@ -529,6 +553,7 @@
             acquired,
             forwarded: Default::default(),
             kind: RequestKind::NotRetryable,
+            running: None,
         }
     }
 }
@@ -548,6 +573,12 @@
         self
     }
 
+    /// Makes the request that holds the slot known as one that may make calls.
+    pub fn with_running(mut self, request: running::Running) -> Self {
+        self.running = Some(lock(&self.upstream.running).start(request));
+        self
+    }
+
     /// Returns the counters that include the request.
     fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
         let retryable =
@@ -572,6 +603,9 @@
         for counter in self.counters() {
             counter.fetch_sub(1, atomic::Ordering::AcqRel);
         }
+        if let Some(number) = self.running {
+            lock(&self.upstream.running).end(number);
+        }
         let now = self.upstream.clock.now();
         let elapsed = now.saturating_duration_since(self.acquired);
         let elapsed = self.forwarded.load(atomic::Ordering::Acquire).then_some(elapsed);
--- a/crates/transport/src/upstream/tests.rs
+++ b/crates/transport/src/upstream/tests.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use lynxmast_state::priority;
+use lynxmast_state::running;
 
 use super::*;
 
@@ -47,3 +48,19 @@
     assert_eq!(avoiding.await.expect("no panic"), Err(outcome::Rejection::Suspected));
     assert_eq!(accepting.await.expect("no panic"), Ok(()));
 }
+
+/// Guards against calls that are attributed to a request that has already ended.
+#[tokio::test]
+async fn a_request_can_be_the_parent_of_calls_while_it_holds_its_slot() {
+    let now = time::Instant::now();
+    let deadline = now + SECOND;
+    let upstream = upstream(1, now);
+    let slot = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), now).await;
+    let request = running::Running { deadline, organisation: "a".into(), rank: 1, objective: None };
+    let slot = slot.expect("the slot is free").with_running(request.clone());
+    let call = deadline + time::Duration::from_millis(2);
+    let found = upstream.find_parent(call);
+    assert_eq!(found, Some((time::Duration::from_millis(2), request)));
+    drop(slot);
+    assert_eq!(upstream.find_parent(call), None);
+}
