Replace shares of rate limits by batches of tokens lent by an owner

Cause: an ingress without a share used a quarter of the limit, 20 times the limit over 78 daemons, and a share was unused while another was exhausted. With the store of the users' platform no shares were requested at all, as the reporter was only started with the log.

Change: an owner per organisation keeps one token bucket and lends batches that expire after 0.5 s; an ingress spends one token per request, and a request without one waits for at most 90 ms. Over the quota: 429 with a Retry-After that differs between callers.

--- a/crates/coordination/src/control_client.rs
+++ b/crates/coordination/src/control_client.rs
@@ -8,7 +8,8 @@
 use indexmap::IndexMap;
 use lynxmast_protocol::control;
 use lynxmast_state::membership;
-use lynxmast_state::rate_limit;
+use lynxmast_state::quota::message;
+use lynxmast_state::quota::spender;
 use lynxmast_transport::socket;
 use tarpc::client;
 use tarpc::context;
@@ -66,18 +67,19 @@
         self.check_response(to, response)
     }
 
-    /// Reports demand to the daemon at `to` and returns the granted rate-limit shares.
+    /// Requests tokens of quotas from the daemon at `to`, which owns them.
     ///
     /// # Errors
     ///
     /// Fails when the daemon does not respond in time or rejects the shared secret.
-    pub async fn report(
+    pub async fn lend(
         &self,
         to: net::SocketAddr,
-        demands: Vec<rate_limit::Demand>,
-    ) -> Result<Vec<rate_limit::Share>, ControlError> {
+        asks: Vec<message::Ask>,
+    ) -> Result<Vec<message::Grant>, ControlError> {
         let client = self.client(to).await?;
-        let response = client.report(default_context(), self.sender.clone(), demands).await;
+        let context = context_with_timeout(spender::ASK_TIMEOUT);
+        let response = client.lend(context, self.sender.clone(), asks).await;
         self.check_response(to, response)
     }
 
--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -7,7 +7,7 @@
 use lynxmast_protocol::control;
 use lynxmast_state::clock;
 use lynxmast_state::membership;
-use lynxmast_state::rate_limit;
+use lynxmast_state::quota::message;
 use lynxmast_state::shared_state;
 use lynxmast_transport::sidecar_server;
 use lynxmast_transport::socket;
@@ -101,24 +101,13 @@
         Some(response)
     }
 
-    async fn report(
+    async fn lend(
         self,
         _: context::Context,
         sender: control::Sender,
-        demands: Vec<rate_limit::Demand>,
-    ) -> Option<Vec<rate_limit::Share>> {
-        if !self.authorise(&sender) {
-            return None;
-        }
-        let policy = self.shared.policy();
-        let now = self.shared.now();
-        let limited = demands.iter().take(rate_limit::DEMANDS_MAX).filter_map(|demand| {
-            policy.quota(&demand.organisation).map(|quota| (demand, quota.rate))
-        });
-        let mut allocator = self.shared.allocator();
-        let shares =
-            limited.map(|(demand, limit)| allocator.allocate(&sender.daemon, demand, limit, now));
-        Some(shares.collect())
+        asks: Vec<message::Ask>,
+    ) -> Option<Vec<message::Grant>> {
+        self.authorise(&sender).then(|| self.shared.lend(&sender.daemon, &asks))
     }
 
     async fn catch_up(
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,5 +1,5 @@
 //! Coordination between daemons and with the platform: the policy log or store, membership,
-//! discovery and shares of rate limits.
+//! discovery and tokens of quotas.
 //!
 //! This layer moves messages and records and updates the shared state of `lynxmast-state`. It is
 //! never on the request path.
@@ -15,6 +15,6 @@
 pub mod log_follower;
 pub mod peer_sync;
 pub mod platform_log;
-pub mod rate_limit_reporter;
+pub mod quota_borrower;
 pub mod restore_monitor;
 pub mod snapshots;
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -14,7 +14,7 @@
 use lynxmast_coordination::log_follower;
 use lynxmast_coordination::peer_sync;
 use lynxmast_coordination::platform_log;
-use lynxmast_coordination::rate_limit_reporter;
+use lynxmast_coordination::quota_borrower;
 use lynxmast_coordination::restore_monitor;
 use lynxmast_coordination::snapshots;
 use lynxmast_protocol::control;
@@ -190,7 +190,7 @@
         );
     }
 
-    /// Starts gossip, the policy follower, snapshots and rate limit reports on the platform's log.
+    /// Starts gossip, the policy follower and snapshots on the platform's log.
     fn start_log_coordination<L: platform_log::Log>(
         &self,
         settings: &settings::Settings,
@@ -207,11 +207,6 @@
             schedule: snapshots::Schedule::default(),
         };
         self.tasks.spawn(snapshots.run(self.stop.clone()));
-        let reporter = rate_limit_reporter::RateLimitReporter {
-            shared: shared.clone(),
-            client: peers.client.clone(),
-        };
-        self.tasks.spawn(reporter.run(self.stop.clone()));
         let follower = log_follower::LogFollower {
             shared: shared.clone(),
             peers,
@@ -255,7 +250,7 @@
         state
     }
 
-    /// Starts gossip and the control server; returns the client that fetches policy from peers.
+    /// Starts gossip, the control server and the borrowing of quota tokens; returns the client that fetches policy from peers.
     fn start_membership(
         &self,
         settings: &settings::Settings,
@@ -275,6 +270,13 @@
         self.tasks.spawn(server.run(control_port, self.stop.clone()));
         let gossip = gossip::Gossip { shared: shared.clone(), client: client.clone(), seeds };
         self.tasks.spawn(gossip.run(self.stop.clone()));
+        let borrower = quota_borrower::QuotaBorrower {
+            shared: shared.clone(),
+            client: client.clone(),
+            signals: self.sidecar.quota_signals.clone(),
+            busy: Default::default(),
+        };
+        self.tasks.spawn(borrower.run(self.stop.clone()));
         peer_sync::PeerSync { shared: shared.clone(), client, history }
     }
 
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -4,7 +4,7 @@
 use lynxmast_state::membership;
 use lynxmast_state::policy::edit;
 use lynxmast_state::policy::reducer;
-use lynxmast_state::rate_limit;
+use lynxmast_state::quota::message;
 
 lynxmast_state::value! {
     /// Policy update for a daemon whose policy is older.
@@ -43,12 +43,9 @@
         sender: Sender,
         message: membership::GossipMessage,
     ) -> Option<membership::GossipMessage>;
-    /// Reports demand and returns the granted rate-limit shares; `None` if the sender's secret is
-    /// wrong.
-    async fn report(
-        sender: Sender,
-        demands: Vec<rate_limit::Demand>,
-    ) -> Option<Vec<rate_limit::Share>>;
+    /// Requests tokens of quotas that the daemon owns; returns `None` if the sender's secret is
+    /// wrong. Quotas that the daemon does not own are missing in the response.
+    async fn lend(sender: Sender, asks: Vec<message::Ask>) -> Option<Vec<message::Grant>>;
     /// Requests the policy records, starting at offset `from`; returns `None` if the sender's secret
     /// is wrong.
     async fn catch_up(sender: Sender, from: ids::Offset) -> Option<CatchUp>;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -26,7 +26,6 @@
 pub mod progress;
 pub mod quarantine;
 pub mod quota;
-pub mod rate_limit;
 pub mod read_turn;
 pub mod request_limit;
 pub mod retry;
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -4,6 +4,7 @@
 mod change;
 mod exchange;
 mod message;
+mod placement;
 mod round;
 
 use std::time;
@@ -17,6 +18,7 @@
 
 pub use change::Change;
 pub use message::GossipMessage;
+pub use placement::Placement;
 pub use round::Round;
 pub use round::RoundKind;
 
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
-//! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `limiter`, `allocator`, `traffic`,
+//! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `spender`, `quota_owner`, `traffic`,
 //! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
 //! an await point. The admission state is private to the sidecar and never locked together with these.
 
@@ -22,7 +22,11 @@
 use crate::policy::document;
 use crate::policy::reducer;
 use crate::quarantine;
-use crate::rate_limit;
+use crate::quota;
+use crate::quota::bounds;
+use crate::quota::message;
+use crate::quota::owner;
+use crate::quota::spender;
 use crate::retry;
 use crate::router;
 use crate::startup;
@@ -42,8 +46,8 @@
     router: sync::Mutex<router::Router>,
     /// Upstreams of each service in all membership records.
     upstream_counts: sync::RwLock<IndexMap<ids::ServiceName, usize>>,
-    limiter: sync::Mutex<rate_limit::LocalLimiter>,
-    allocator: sync::Mutex<rate_limit::Allocator>,
+    spender: sync::Mutex<spender::Spender>,
+    quota_owner: sync::Mutex<owner::Owner>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
     quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
@@ -70,6 +74,9 @@
         let router =
             router::Router::new(own_record.daemon.clone(), own_record.domain.clone(), balance);
         let ring = event::Ring::new(own_record.daemon.clone(), EVENTS_MAX);
+        let quota_start = clock.now() + clock.suspended();
+        let quota_owner =
+            owner::Owner::new(bounds::Bounds::default(), own_record.incarnation, quota_start);
         Self {
             startup: startup::Startup::new(clock.now()),
             clock,
@@ -78,8 +85,8 @@
             membership: sync::Mutex::new(membership::Membership::new(own_record)),
             router: sync::Mutex::new(router),
             upstream_counts: Default::default(),
-            limiter: Default::default(),
-            allocator: Default::default(),
+            spender: Default::default(),
+            quota_owner: sync::Mutex::new(quota_owner),
             traffic: Default::default(),
             quarantine: Default::default(),
             events: sync::Mutex::new(ring),
@@ -156,14 +163,51 @@
         lock(&self.router)
     }
 
-    /// Locks the rate limiter of this ingress.
-    pub fn limiter(&self) -> sync::MutexGuard<'_, rate_limit::LocalLimiter> {
-        lock(&self.limiter)
+    /// Locks the tokens of organisations at this ingress.
+    pub fn spender(&self) -> sync::MutexGuard<'_, spender::Spender> {
+        lock(&self.spender)
     }
 
-    /// Locks the rate-limit allocator of this daemon.
-    pub fn allocator(&self) -> sync::MutexGuard<'_, rate_limit::Allocator> {
-        lock(&self.allocator)
+    /// Decides about a request under the quota of its organisation, see [`spender::Spender::admit`].
+    /// Also returns whether an ask for tokens is due.
+    pub fn spend(
+        &self,
+        organisation: &ids::OrganisationName,
+        limit: &quota::Limit,
+        arrived: time::Instant,
+        now: time::Instant,
+    ) -> (spender::Decision, bool) {
+        let mut spender = self.spender();
+        let decision = spender.admit(organisation, limit, arrived, now);
+        (decision, spender.is_ask_due(organisation, now))
+    }
+
+    /// Locks the quotas that this daemon owns.
+    pub fn quota_owner(&self) -> sync::MutexGuard<'_, owner::Owner> {
+        lock(&self.quota_owner)
+    }
+
+    /// Returns the time for quotas. Unlike [`now`](Self::now) it advances while the VM is suspended,
+    /// so that tokens expire meanwhile.
+    pub fn quota_now(&self) -> time::Instant {
+        self.clock.now() + self.clock.suspended()
+    }
+
+    /// Lends tokens to the ingress of `daemon` from the quotas that this daemon owns. Asks for
+    /// organisations that it does not own, or that the policy does not limit, get no grant.
+    pub fn lend(&self, daemon: &ids::DaemonName, asks: &[message::Ask]) -> Vec<message::Grant> {
+        let (policy, now, quota_now) = (self.policy(), self.now(), self.quota_now());
+        let mut grants = Vec::new();
+        for ask in asks.iter().take(message::ASKS_MAX) {
+            let Some(limit) = policy.quota(&ask.organisation) else { continue };
+            let placement = self.membership().place(&ask.organisation, now);
+            if placement.control.is_some() {
+                continue;
+            }
+            let mut owner = self.quota_owner();
+            grants.push(owner.lend(daemon, ask, &limit, placement.position, quota_now));
+        }
+        grants
     }
 
     /// Locks the requests that are suspected of crashing upstreams.
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -23,6 +23,7 @@
 use lynxmast_state::outlier;
 use lynxmast_state::policy::compiled;
 use lynxmast_state::progress;
+use lynxmast_state::quota::spender;
 use lynxmast_state::retry;
 use lynxmast_state::router;
 use lynxmast_state::sampling;
@@ -181,6 +182,12 @@
                 return error_response::for_outcome(outcome, None, scheme);
             }
         };
+        if let Err(room) = self.check_quota(&context.route_match).await {
+            let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
+            telemetry::log_over_quota(id.as_ref(), &context.route_match, room);
+            telemetry::count_outcome("", outcome);
+            return error_response::for_outcome(outcome, Some(room), scheme);
+        }
         let service = context.route_match.service.name.clone();
         let mut progress = progress::Progress::default();
         let result = self.serve(&context, &mut progress).await;
@@ -217,8 +224,8 @@
         self.peers.retain(&sidecars);
     }
 
-    /// Validates, routes and authorises a request, applies the size and rate limits, and prepares
-    /// the head for forwarding.
+    /// Validates, routes and authorises a request, applies the size limit, and prepares the
+    /// head for forwarding.
     fn accept(
         &self,
         request: http::Request<incoming_body::IncomingBody>,
@@ -239,7 +246,6 @@
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
         }
-        self.check_rate_limit(&route_match, arrived)?;
         let timeout = parsed
             .timeout
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
@@ -311,17 +317,34 @@
         true
     }
 
-    /// Counts the request towards the rate limit of its organisation.
-    fn check_rate_limit(
-        &self,
-        route_match: &compiled::RouteMatch,
-        now: time::Instant,
-    ) -> Result<(), outcome::Rejection> {
-        let Some(quota) = route_match.quota else { return Ok(()) };
-        let daemons = self.shared.membership().live_records(now).count();
-        let admitted =
-            self.shared.limiter().admit(&route_match.organisation, quota.rate, daemons, now);
-        admitted.then_some(()).ok_or(outcome::Rejection::RateLimited)
+    /// Spends a token of the organisation's quota, for which the request may wait shortly.
+    ///
+    /// # Errors
+    ///
+    /// Returns after what time there is room if the request is to be rejected.
+    async fn check_quota(&self, route_match: &compiled::RouteMatch) -> Result<(), time::Duration> {
+        let Some(limit) = route_match.quota else { return Ok(()) };
+        let signals = &self.sidecar.quota_signals;
+        let organisation = &route_match.organisation;
+        let arrived = self.shared.quota_now();
+        let mut now = arrived;
+        loop {
+            let mut granted = std::pin::pin!(signals.granted.notified());
+            granted.as_mut().enable();
+            let (decision, is_ask_due) = self.shared.spend(organisation, &limit, arrived, now);
+            if is_ask_due {
+                signals.ask.notify_one();
+            }
+            match decision {
+                spender::Decision::Admit => return Ok(()),
+                spender::Decision::Reject(room) => return Err(room),
+                spender::Decision::Wait(until) => {
+                    let remaining = until.saturating_duration_since(now);
+                    let _ = tokio::time::timeout(remaining, granted).await;
+                }
+            }
+            now = self.shared.quota_now();
+        }
     }
 
     /// Serves a request to its final outcome. A server error is retried where possible, and is
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -5,6 +5,7 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
+use lynxmast_state::policy::compiled;
 use lynxmast_state::progress;
 use lynxmast_state::retry;
 
@@ -146,6 +147,27 @@
     );
 }
 
+/// Logs a request that was rejected as its organisation is over its quota.
+pub fn log_over_quota(
+    id: Option<&http::HeaderValue>,
+    route_match: &compiled::RouteMatch,
+    room: time::Duration,
+) {
+    let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
+    let quota = route_match.quota;
+    log::info!(
+        event = "request",
+        id = id_text(id),
+        outcome = outcome.as_str(),
+        reason = outcome.reason(),
+        organisation = &*route_match.organisation,
+        rate = quota.map_or(0.0, |limit| limit.rate),
+        burst = quota.map_or(0.0, |limit| limit.burst),
+        room_ms = room.as_millis() as u64;
+        "request rejected by ingress"
+    );
+}
+
 /// Counts a request by service, outcome and reason.
 pub fn count_outcome(service: &str, outcome: outcome::Outcome) {
     metrics::counter!(
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod pool;
+pub mod quota_signals;
 pub mod replay;
 pub mod result_recorder;
 pub mod server;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -32,6 +32,7 @@
 use crate::exchange;
 use crate::hop;
 use crate::pool;
+use crate::quota_signals;
 use crate::result_recorder;
 use crate::upstream;
 
@@ -43,6 +44,8 @@
     stall_monitor: exchange::StallMonitor<C>,
     /// Wakes the policy follower to fetch a newer policy version at once.
     pub policy_refresh: sync::Arc<tokio::sync::Notify>,
+    /// Signals of the requests that wait for tokens of a quota.
+    pub quota_signals: sync::Arc<quota_signals::QuotaSignals>,
     header_scheme: sync::Arc<header_scheme::HeaderScheme>,
     /// Time between heartbeats that is requested from backend servers.
     heartbeat_interval: time::Duration,
@@ -115,6 +118,7 @@
             upstreams: Default::default(),
             stall_monitor: exchange::StallMonitor::default(),
             policy_refresh: Default::default(),
+            quota_signals: Default::default(),
             header_scheme: options.header_scheme,
             lease_duration: options.heartbeat_interval * HEARTBEATS_MISSED_MAX,
             heartbeat_interval: options.heartbeat_interval,
