Bound held bytes and hold large responses whole

Cause: responses above 64 KiB were streamed, so a truncated one reached its caller although it could have been retried; bodies kept for another attempt and held responses were not counted.

Change: byte_budget counts the bytes of kept request bodies and held responses against one limit ([limits] held-bytes, by default a sixteenth of memory-mb) with a mark for each kind, which gives the order under pressure. response_hold decides how long a response of known length is held: up to a quarter of the time left to the objective, and not at all if the measured speed says that it would not be complete by then. Large requests are rejected as not run (held-bytes) while the budget is full. The time that decides on hedges includes the time held. Metrics lynxmast_held_bytes, lynxmast_held_bytes_limit and lynxmast_responses_held_total; held bytes in the status.

--- a/crates/lynxmast/src/status.rs
+++ b/crates/lynxmast/src/status.rs
@@ -24,6 +24,12 @@
     if status.source_epoch > 0 {
         println!("epoch of the policy source: {}", status.source_epoch);
     }
+    if let Some(held) = &status.held {
+        println!(
+            "held bytes: {} of requests, {} of responses, {} read ahead; limit {}",
+            held.replay, held.response, held.read_ahead, held.limit
+        );
+    }
     println!("\nlocal upstreams:");
     for upstream in &status.upstreams {
         let state = if upstream.draining { "draining" } else { "serving" };
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use lynxmast_coordination::log_follower;
 use lynxmast_protocol::admin as api;
+use lynxmast_state::byte_budget;
 use lynxmast_state::clock;
 use lynxmast_state::shared_state;
 use lynxmast_transport::client;
@@ -40,11 +41,22 @@
             policy: own.policy,
             log: self.follower.source_reachable.load(atomic::Ordering::Acquire),
             source_epoch,
+            held: Some(self.held()),
             upstreams: self.upstreams(),
             members: records,
         }
     }
 
+    fn held(&self) -> api::HeldBytes {
+        use byte_budget::Kind::{ReadAhead, Replay, Response};
+        self.shared.held_bytes.with(|budget| api::HeldBytes {
+            limit: budget.limit(),
+            replay: budget.held(Replay),
+            response: budget.held(Response),
+            read_ahead: budget.held(ReadAhead),
+        })
+    }
+
     fn upstreams(&self) -> Vec<api::Upstream> {
         let now = self.shared.now();
         let upstreams = self.sidecar.upstreams();
@@ -107,6 +119,16 @@
         }
     }
 
+    /// Sets the gauges of the bytes that the daemon holds in memory.
+    fn record_held_bytes(&self) {
+        let budget = self.shared.held_bytes.with(|budget| budget.clone());
+        metrics::gauge!("lynxmast_held_bytes_limit").set(budget.limit() as f64);
+        for kind in byte_budget::Kind::ALL {
+            metrics::gauge!("lynxmast_held_bytes", "kind" => kind.as_str())
+                .set(budget.held(kind) as f64);
+        }
+    }
+
     /// Sets the gauges of the upstreams that the ingress selects or leaves out.
     fn record_availability(&self) {
         let router = self.shared.router();
@@ -136,6 +158,7 @@
                 self.record_availability();
                 self.record_suspects();
                 self.record_limits();
+                self.record_held_bytes();
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
                 (ok, Bytes::from(text.unwrap_or_default()))
             }
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -395,6 +395,7 @@
         let record = own_record(settings, &ports.listen, &clock);
         let shared =
             sync::Arc::new(shared_state::SharedState::new(record, settings.limits.balance, clock));
+        shared.held_bytes.with(|budget| budget.set_limit(settings.limits.held_bytes()));
         let daemon = Daemon {
             listen: ports.listen.clone(),
             shared: shared.clone(),
--- a/crates/lynxmastd/src/settings.rs
+++ b/crates/lynxmastd/src/settings.rs
@@ -6,6 +6,7 @@
 
 use displaydoc::Display;
 use lynxmast_platform::duration_text;
+use lynxmast_state::byte_budget;
 use lynxmast_state::ids;
 use lynxmast_state::router;
 use lynxmast_state::validation;
@@ -111,6 +112,11 @@
         pub shutdown: time::Duration,
         /// Load balancing policy of the ingress.
         pub balance: router::Balance,
+        /// Memory of the machine in MB; `None` if it is not known.
+        pub memory_mb: Option<usize>,
+        /// Largest number of bytes of requests and responses that the daemon holds in memory; `None`
+        /// for the default, which depends on `memory_mb`.
+        pub held_bytes: Option<usize>,
     }
 }
 
@@ -153,10 +159,19 @@
             connections: 10_000,
             shutdown: time::Duration::from_secs(30),
             balance: router::Balance::default(),
+            memory_mb: None,
+            held_bytes: None,
         }
     }
 }
 
+impl Limits {
+    /// Returns the largest number of bytes of requests and responses that the daemon holds.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes.unwrap_or_else(|| byte_budget::default_limit(self.memory_mb))
+    }
+}
+
 /// Why settings cannot be loaded.
 #[derive(Debug, Display)]
 pub enum SettingsError {
@@ -198,6 +213,10 @@
 
 const SECRET_LENGTH_MIN: usize = 16;
 const CONNECTIONS_MAX: usize = 1_000_000;
+const MEMORY_MB_MAX: usize = 64 * 1024 * 1024;
+/// Smallest `held-bytes`: room for one large request and some responses.
+const HELD_BYTES_MIN: usize = 1024 * 1024;
+const HELD_BYTES_MAX: usize = 1024 * 1024 * 1024 * 1024;
 const HEARTBEAT_MIN: time::Duration = time::Duration::from_millis(100);
 const HEARTBEAT_MAX: time::Duration = time::Duration::from_secs(60);
 const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
@@ -307,6 +326,11 @@
         let connections_ok = (1..=CONNECTIONS_MAX).contains(&self.limits.connections);
         require(connections_ok, limits, "connections", "is not in the range 1 to 1000000");
         require(self.limits.shutdown <= SHUTDOWN_MAX, limits, "shutdown", "is greater than 24h");
+        let memory_ok = self.limits.memory_mb.is_none_or(|mb| (1..=MEMORY_MB_MAX).contains(&mb));
+        require(memory_ok, limits, "memory-mb", "is not in the range 1 to 67108864");
+        let held_ok =
+            self.limits.held_bytes.is_none_or(|b| (HELD_BYTES_MIN..=HELD_BYTES_MAX).contains(&b));
+        require(held_ok, limits, "held-bytes", "is not in the range 1048576 to 1099511627776");
         for (key, reason) in self.listen.conflicts(&self.advertise) {
             require(false, &location("listen"), key, &reason);
         }
--- a/crates/lynxmastd/src/settings/tests.rs
+++ b/crates/lynxmastd/src/settings/tests.rs
@@ -23,6 +23,16 @@
     assert_eq!(settings.limits.shutdown, time::Duration::from_secs(5));
 }
 
+/// Guards against a budget that does not follow from the machine's memory.
+#[test_case("", 16 * 1024 * 1024; "memory not known")]
+#[test_case("memory-mb = 160\n", 10 * 1024 * 1024; "a sixteenth of the memory")]
+#[test_case("memory-mb = 16\n", 4 * 1024 * 1024; "at least 4 MiB")]
+#[test_case("memory-mb = 160\nheld-bytes = 2000000\n", 2_000_000; "set")]
+fn held_bytes_follow_from_the_memory(extra: &str, expected: usize) {
+    let settings = Settings::parse(&format!("{VALID}[limits]\n{extra}")).expect("valid settings");
+    assert_eq!(settings.limits.held_bytes(), expected);
+}
+
 #[test_case("speed = 1\n", "speed", Some(5); "unknown key")]
 #[test_case("peers = ['here']\n", "peers", Some(5); "invalid address")]
 #[test_case("[listen]\nentry = 7100\n", "listen.entry", Some(6); "wrong type")]
@@ -30,6 +40,9 @@
 #[test_case("[listen]\nentry = '127.0.0.1:1'\ngate = '127.0.0.1:1'\n", "listen.gate", Some(7); "address used twice")]
 #[test_case("[listen]\ngate = '0.0.0.0:1'\n", "listen.gate", Some(6); "unspecified address that is not advertised")]
 #[test_case("[limits]\nconnections = 0\n", "limits.connections", Some(6); "limit of zero")]
+#[test_case("[limits]\nheld-bytes = 1000\n", "limits.held-bytes", Some(6); "too few held bytes")]
+#[test_case("[limits]\nheld-bytes = -1\n", "limits.held-bytes", Some(6); "negative held bytes")]
+#[test_case("[limits]\nmemory-mb = 0\n", "limits.memory-mb", Some(6); "no memory")]
 #[test_case("[limits]\nshutdown = '3 moons'\n", "limits.shutdown", Some(6); "invalid duration")]
 #[test_case("limits = 3\n", "limits", Some(5); "value in place of a table")]
 #[test_case("name = \n", "", Some(5); "syntax error")]
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -34,12 +34,27 @@
         /// Newest epoch of the policy source known to the daemon; 0 if unknown.
         #[serde(default)]
         pub source_epoch: ids::SourceEpoch,
+        /// Bytes that the daemon holds in memory; absent from older daemons.
+        #[serde(default)]
+        pub held: Option<HeldBytes>,
         /// Local upstreams.
         pub upstreams: Vec<Upstream>,
         /// Membership records of the known daemons, each as published by that daemon.
         pub members: Vec<member::Record>,
     }
 
+    /// Bytes of requests and responses that a daemon holds in memory.
+    pub struct HeldBytes {
+        /// Limit for all of them.
+        pub limit: usize,
+        /// Parts of request bodies that are kept for another attempt.
+        pub replay: usize,
+        /// Responses that are kept until they are complete.
+        pub response: usize,
+        /// Parts of responses that were read ahead of their callers.
+        pub read_ahead: usize,
+    }
+
     /// Status of an upstream at its sidecar.
     pub struct Upstream {
         /// Service and address.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod rate_limit;
 pub mod read_turn;
 pub mod request_limit;
+pub mod response_hold;
 pub mod retry;
 pub mod router;
 pub mod sampling;
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -59,6 +59,8 @@
         Limited,
         /// The request would be a retry, and the retry budget of the upstream is used up.
         OverBudget,
+        /// The daemon holds as many bytes in memory as its limit allows, and the request body is large.
+        HeldBytes,
     }
 
     /// Reason why a request that may have been run has no complete response.
@@ -139,7 +141,7 @@
 
 impl Rejection {
     /// All variants, for decoding and tests.
-    pub const ALL: [Rejection; 21] = [
+    pub const ALL: [Rejection; 22] = [
         Rejection::BadRequest,
         Rejection::UnknownKey,
         Rejection::Forbidden,
@@ -161,6 +163,7 @@
         Rejection::Quarantined,
         Rejection::Limited,
         Rejection::OverBudget,
+        Rejection::HeldBytes,
     ];
 
     /// Returns the value of the reason header.
@@ -187,6 +190,7 @@
             Rejection::Quarantined => "quarantined",
             Rejection::Limited => "limited",
             Rejection::OverBudget => "over-budget",
+            Rejection::HeldBytes => "held-bytes",
         }
     }
 
@@ -198,8 +202,8 @@
     /// Returns whether the request was rejected for lack of capacity; a suspected upstream counts
     /// as lacking it.
     pub fn is_overload(&self) -> bool {
-        use Rejection::{Limited, OverBudget, QueueFull, Suspected, WaitTooLong};
-        matches!(self, QueueFull | WaitTooLong | Suspected | Limited | OverBudget)
+        use Rejection::{HeldBytes, Limited, OverBudget, QueueFull, Suspected, WaitTooLong};
+        matches!(self, QueueFull | WaitTooLong | Suspected | Limited | OverBudget | HeldBytes)
     }
 
     /// Returns whether a backend server was contacted, although it did not run the request.
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `limiter`, `allocator`, `traffic`,
 //! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
-//! an await point. The admission state is private to the sidecar and never locked together with these.
+//! an await point. `held_bytes` locks for single additions and is acquired last. The admission state is private to the sidecar and never locked together with these.
 
 use std::hash;
 use std::hash::Hash;
@@ -13,6 +13,7 @@
 
 use indexmap::IndexMap;
 
+use crate::byte_budget;
 use crate::clock;
 use crate::event;
 use crate::ids;
@@ -23,6 +24,7 @@
 use crate::policy::reducer;
 use crate::quarantine;
 use crate::rate_limit;
+use crate::response_hold;
 use crate::retry;
 use crate::router;
 use crate::startup;
@@ -35,6 +37,8 @@
     pub clock: C,
     /// Start of the daemon.
     pub startup: startup::Startup,
+    /// Budget of the bytes that the daemon holds in memory.
+    pub held_bytes: byte_budget::HeldBytes,
     /// Name of the daemon, for log lines.
     daemon: ids::DaemonName,
     policy: sync::RwLock<Policy>,
@@ -72,6 +76,7 @@
         let ring = event::Ring::new(own_record.daemon.clone(), EVENTS_MAX);
         Self {
             startup: startup::Startup::new(clock.now()),
+            held_bytes: byte_budget::HeldBytes::new(byte_budget::LIMIT_DEFAULT),
             clock,
             daemon: own_record.daemon.clone(),
             policy: Default::default(),
@@ -232,8 +237,10 @@
     pub budget: retry::Budget,
     /// Retries left that sidecars of the service have reported recently.
     pub retries_left: statistics::MovingAverage,
-    /// Estimate of the 95th percentile of the time to a response head, in seconds.
+    /// Estimate of the 95th percentile of the time until a response can be passed on, in seconds.
     pub latency_p95: statistics::Quantile,
+    /// Speed at which responses arrive.
+    pub speed: response_hold::Speed,
 }
 
 const LATENCY_QUANTILE: f64 = 0.95;
@@ -243,7 +250,12 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        Self { budget: retry::Budget::default(), retries_left, latency_p95 }
+        Self {
+            budget: retry::Budget::default(),
+            retries_left,
+            latency_p95,
+            speed: Default::default(),
+        }
     }
 }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod fault_proxy;
 pub mod fleet;
 pub mod load;
+pub mod paced_backend;
 pub mod scripted_backend;
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -12,6 +12,7 @@
 use crate::body_error;
 use crate::cutoff;
 use crate::exchange;
+use crate::held_body;
 use crate::ingress;
 use crate::replay;
 use crate::stall_timeout;
@@ -34,6 +35,10 @@
     Empty,
     /// A complete body in memory.
     Full(Bytes),
+    /// A complete response that was held.
+    Held(held_body::HeldBody),
+    /// The beginning of a response that was held, and the rest, which is streamed.
+    Begun(held_body::HeldBody, Box<ResponseBody<C>>),
     /// From the local sidecar.
     Local(exchange::SidecarBody<C>, ingress::OutstandingRequest<C>, cutoff::Cutoff),
     /// From another daemon's sidecar.
@@ -111,6 +116,15 @@
                 let frame = (!bytes.is_empty()).then(|| Ok(body::Frame::data(bytes)));
                 task::Poll::Ready(frame)
             }
+            ResponseBody::Held(body) => pin::Pin::new(body).poll_frame(cx),
+            ResponseBody::Begun(body, _) if !body.is_end_stream() => {
+                pin::Pin::new(body).poll_frame(cx)
+            }
+            ResponseBody::Begun(_, rest) => {
+                // The beginning no longer counts in the budget once the rest is streamed.
+                *self = std::mem::replace(&mut **rest, ResponseBody::Empty);
+                self.poll_frame(cx)
+            }
             ResponseBody::Local(body, outstanding, cutoff) => {
                 let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
                 report_broken_body(polled, outstanding)
@@ -126,6 +140,8 @@
         match self {
             ResponseBody::Empty => true,
             ResponseBody::Full(bytes) => bytes.is_empty(),
+            ResponseBody::Held(body) => body.is_end_stream(),
+            ResponseBody::Begun(body, rest) => body.is_end_stream() && rest.is_end_stream(),
             ResponseBody::Local(body, ..) => body.is_end_stream(),
             ResponseBody::Remote(body, ..) => body.is_end_stream(),
         }
@@ -135,6 +151,13 @@
         match self {
             ResponseBody::Empty => body::SizeHint::with_exact(0),
             ResponseBody::Full(bytes) => body::SizeHint::with_exact(bytes.len() as u64),
+            ResponseBody::Held(body) => body.size_hint(),
+            ResponseBody::Begun(body, rest) => {
+                let known = body.size_hint().exact().zip(rest.size_hint().exact());
+                known.map_or_else(Default::default, |(begun, rest)| {
+                    body::SizeHint::with_exact(begun + rest)
+                })
+            }
             ResponseBody::Local(body, ..) => body.size_hint(),
             ResponseBody::Remote(body, ..) => body.size_hint(),
         }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod head;
 mod hedge;
+mod hold;
 mod outstanding;
 mod quarantine;
 mod retries;
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
+use lynxmast_state::byte_budget;
 use lynxmast_state::clock;
 use lynxmast_state::fingerprint;
 use lynxmast_state::ids;
@@ -239,6 +241,9 @@
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
         }
+        if !self.shared.held_bytes.with(|budget| budget.admits_request(body_size)) {
+            return Err(outcome::Rejection::HeldBytes);
+        }
         self.check_rate_limit(&route_match, arrived)?;
         let timeout = parsed
             .timeout
@@ -261,7 +266,8 @@
             body_size,
         });
         let stall = route_match.service.stall;
-        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
+        let held = self.shared.held_bytes.empty(byte_budget::Kind::Replay);
+        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key, held);
         let policy_version = policy.version;
         let deadline = arrived + timeout;
         Ok(RequestContext {
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -2,11 +2,8 @@
 
 use std::time;
 
-use bytes::Bytes;
 use http::HeaderValue;
-use http::header;
 use http_body::Body;
-use http_body_util::BodyExt;
 use hyper::body as hyper_body;
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
@@ -16,7 +13,6 @@
 use lynxmast_state::router;
 
 use crate::body;
-use crate::body_error;
 use crate::cutoff;
 use crate::hop;
 use crate::ingress;
@@ -25,9 +21,6 @@
 
 type ResponseResult<C> = Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd>;
 
-/// Size in bytes up to which a response is buffered completely before it is passed on, so that a
-/// truncated response can still be retried or reported.
-const BUFFERED_SIZE_MAX: u64 = 64 * 1024;
 /// Time after the deadline for which the ingress still waits for the sidecar's report.
 const REPORT_GRACE: time::Duration = time::Duration::from_millis(20);
 
@@ -63,12 +56,16 @@
             Err(end) => return Err(self.attribute_to_caller(context, end)),
         };
         self.record_response(context, response.status());
+        let response = track(response, outstanding, context.deadline);
+        let held = self.hold_response(context, response).await;
+        let response = held.map_err(retry::AttemptEnd::MayHaveRun)?;
+        // Includes the time for which the response was held: every response that is held for longer
+        // than the usual time to a head would be hedged otherwise.
         let elapsed = self.shared.now().saturating_duration_since(started);
         let service = &context.route_match.service.name;
         self.shared
             .with_traffic(service, |traffic| traffic.latency_p95.record(elapsed.as_secs_f64()));
-        let result = buffer_small(track(response, outstanding, context.deadline)).await;
-        result.map_err(retry::AttemptEnd::MayHaveRun)
+        Ok(response)
     }
 
     async fn send_to_local_sidecar(
@@ -248,25 +245,3 @@
         }
     })
 }
-
-/// Buffers a small response completely; a large one, or one of unknown size, is streamed.
-async fn buffer_small<C: clock::Clock>(
-    response: http::Response<body::ResponseBody<C>>,
-) -> Result<http::Response<body::ResponseBody<C>>, outcome::Failure> {
-    if response.body().is_end_stream() {
-        return Ok(response.map(|_| body::ResponseBody::Empty));
-    }
-    let is_small =
-        response.body().size_hint().exact().is_some_and(|size| size <= BUFFERED_SIZE_MAX);
-    let has_trailers = response.headers().contains_key(header::TRAILER);
-    if !is_small || has_trailers {
-        return Ok(response);
-    }
-    let (parts, body) = response.into_parts();
-    let bytes: Bytes = match body.collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(body_error::BodyError::Stalled) => return Err(outcome::Failure::Stalled),
-        Err(_) => return Err(outcome::Failure::Truncated),
-    };
-    Ok(http::Response::from_parts(parts, body::ResponseBody::Full(bytes)))
-}
--- /dev/null
+++ b/crates/transport/src/ingress/hold.rs
@@ -0,0 +1,135 @@
+//! Holding a response until it is complete, so that a truncated one can be retried or reported.
+
+use std::time;
+
+use bytes::Bytes;
+use http::header;
+use http_body::Body;
+use http_body_util::BodyExt;
+use lynxmast_state::byte_budget;
+use lynxmast_state::clock;
+use lynxmast_state::outcome;
+use lynxmast_state::response_hold;
+
+use crate::body;
+use crate::body_error;
+use crate::held_body;
+use crate::ingress;
+
+type Response<C> = http::Response<body::ResponseBody<C>>;
+
+impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Holds a response of known length as far as the byte budget and the time of the request allow.
+    /// Other responses, and what arrives after that time, are streamed.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the response is not complete.
+    pub(super) async fn hold_response(
+        &self,
+        context: &ingress::RequestContext,
+        response: Response<C>,
+    ) -> Result<Response<C>, outcome::Failure> {
+        if response.body().is_end_stream() {
+            return Ok(response.map(|_| body::ResponseBody::Empty));
+        }
+        let has_trailers = response.headers().contains_key(header::TRAILER);
+        let size = response.body().size_hint().exact().filter(|_| !has_trailers);
+        let Some(size) = size else { return Ok(response) };
+        let started = self.shared.now();
+        let service = &context.route_match.service.name;
+        let objective_left = context.objective_remaining(started);
+        let time_left = context.deadline.saturating_duration_since(started);
+        let plan = self.shared.with_traffic(service, |traffic| {
+            traffic.speed.plan(size, objective_left, time_left, started)
+        });
+        let longest = match plan {
+            response_hold::Plan::Hold => None,
+            response_hold::Plan::HoldFor(longest) => Some(longest),
+            response_hold::Plan::Stream => {
+                count("slow");
+                return Ok(response);
+            }
+        };
+        let held = usize::try_from(size)
+            .ok()
+            .and_then(|size| self.shared.held_bytes.try_hold(byte_budget::Kind::Response, size));
+        let Some(held) = held else {
+            count("no-room");
+            return Ok(response);
+        };
+        let (parts, body) = response.into_parts();
+        let mut reading = Reading { buffer: Vec::with_capacity(size as usize), body };
+        let end = reading.read(size, longest).await;
+        let now = self.shared.now();
+        let elapsed = now.saturating_duration_since(started);
+        let read = reading.buffer.len() as u64;
+        self.shared.with_traffic(service, |traffic| traffic.speed.record(read, elapsed, now));
+        let Reading { buffer, body } = reading;
+        let held = held_body::HeldBody::new(Bytes::from(buffer), held);
+        let body = match end {
+            Ok(ReadEnd::Complete) => {
+                count("whole");
+                body::ResponseBody::Held(held)
+            }
+            Ok(ReadEnd::OutOfTime) => {
+                count("out-of-time");
+                body::ResponseBody::Begun(held, Box::new(body))
+            }
+            Err(error) => {
+                count("broken");
+                return Err(failure(error));
+            }
+        };
+        Ok(http::Response::from_parts(parts, body))
+    }
+}
+
+/// A body that is read into memory.
+struct Reading<C: clock::Clock> {
+    buffer: Vec<u8>,
+    body: body::ResponseBody<C>,
+}
+
+/// Why reading a body ended without an error.
+enum ReadEnd {
+    Complete,
+    OutOfTime,
+}
+
+impl<C: clock::Clock> Reading<C> {
+    /// Reads a body of `size` bytes for at most `longest`.
+    async fn read(
+        &mut self,
+        size: u64,
+        longest: Option<time::Duration>,
+    ) -> Result<ReadEnd, body_error::BodyError> {
+        let Some(longest) = longest else { return self.read_all(size).await };
+        match tokio::time::timeout(longest, self.read_all(size)).await {
+            Ok(result) => result,
+            Err(_) => Ok(ReadEnd::OutOfTime),
+        }
+    }
+
+    async fn read_all(&mut self, size: u64) -> Result<ReadEnd, body_error::BodyError> {
+        while let Some(frame) = self.body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+        let is_complete = self.buffer.len() as u64 == size;
+        is_complete.then_some(ReadEnd::Complete).ok_or(body_error::BodyError::Truncated)
+    }
+}
+
+fn failure(error: body_error::BodyError) -> outcome::Failure {
+    match error {
+        body_error::BodyError::Stalled => outcome::Failure::Stalled,
+        _ => outcome::Failure::Truncated,
+    }
+}
+
+/// Counts a response of known length by what became of holding it.
+fn count(result: &'static str) {
+    metrics::counter!("lynxmast_responses_held_total", "result" => result).increment(1);
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error_response;
 pub mod exchange;
 pub mod guarded_body;
+pub mod held_body;
 pub mod hop;
 pub mod incoming_body;
 pub mod ingress;
--- a/crates/transport/src/replay.rs
+++ b/crates/transport/src/replay.rs
@@ -1,6 +1,7 @@
 //! A caller's request body that several attempts can send, as long as it is small.
 //!
-//! The body is buffered until its size exceeds [`BUFFER_SIZE_MAX`]. A sidecar reads nothing of a
+//! The body is buffered until its size exceeds [`BUFFER_SIZE_MAX`] or the daemon's byte budget has no
+//! room for it. A sidecar reads nothing of a
 //! body before the request has a slot, and until then HTTP/2 flow control withholds all but
 //! [`crate::peers::STREAM_WINDOW`] bytes, so a rejected upload of any size can still be sent
 //! elsewhere from its start.
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use http_body::Body;
 use hyper::body;
+use lynxmast_state::byte_budget;
 use lynxmast_state::fingerprint;
 
 use crate::body_error;
@@ -34,6 +36,9 @@
     incoming: incoming_body::IncomingBody,
     timer: stall_timeout::StallTimer,
     buffered: Vec<Bytes>,
+    /// Counts the buffered bytes in the daemon's byte budget.
+    held: byte_budget::Held,
+    /// Size of the body received so far while all of it is buffered.
     buffered_size: usize,
     state: ReadState,
     /// Number of the attempt that may read from the caller.
@@ -66,11 +71,12 @@
 
 impl ReplayBuffer {
     /// Wraps a caller's body, which is hashed with `key` as it arrives; it fails after
-    /// `stall_timeout` without progress.
+    /// `stall_timeout` without progress. `held` counts what is buffered.
     pub fn new(
         incoming: incoming_body::IncomingBody,
         stall_timeout: time::Duration,
         key: fingerprint::Key,
+        held: byte_budget::Held,
     ) -> Self {
         let state = if incoming.is_end_stream() { ReadState::Complete } else { ReadState::Reading };
         let size_hint = incoming.size_hint();
@@ -78,6 +84,7 @@
             incoming,
             timer: stall_timeout::StallTimer::new(stall_timeout),
             buffered: Vec::new(),
+            held,
             buffered_size: 0,
             state,
             reader: 0,
@@ -131,9 +138,11 @@
 }
 
 impl Inner {
+    /// Reads from the caller. If `keeps_data`, the budget cannot refuse the buffer.
     fn poll_incoming(
         &mut self,
         cx: &mut task::Context<'_>,
+        keeps_data: bool,
     ) -> task::Poll<Option<Result<Bytes, body_error::BodyError>>> {
         loop {
             let frame = match pin::Pin::new(&mut self.incoming).poll_frame(cx) {
@@ -157,7 +166,7 @@
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.hasher.update(&data);
-                    self.buffer(&data);
+                    self.buffer(&data, keeps_data);
                     return task::Poll::Ready(Some(Ok(data)));
                 }
             }
@@ -174,24 +183,32 @@
                 ReadState::Failed(error) => return task::Poll::Ready(Err(error)),
                 ReadState::Reading | ReadState::Overflowed => {}
             }
-            if let Some(Err(error)) = std::task::ready!(self.poll_incoming(cx)) {
+            if let Some(Err(error)) = std::task::ready!(self.poll_incoming(cx, true)) {
                 return task::Poll::Ready(Err(error));
             }
         }
         task::Poll::Ready(Ok(()))
     }
 
-    fn buffer(&mut self, data: &Bytes) {
+    /// Buffers data unless the body is too large or, if not `keeps_data`, the budget has no room.
+    /// Data that was read for the fingerprint has not been sent, so it must be kept.
+    fn buffer(&mut self, data: &Bytes, keeps_data: bool) {
         if self.state != ReadState::Reading {
             return;
         }
         self.buffered_size += data.len();
-        if self.buffered_size > BUFFER_SIZE_MAX {
+        let has_room =
+            self.buffered_size <= BUFFER_SIZE_MAX && (keeps_data || self.held.try_grow(data.len()));
+        if !has_room {
             self.buffered = Vec::new();
+            self.held.clear();
             self.state = ReadState::Overflowed;
-        } else {
-            self.buffered.push(data.clone());
+            return;
+        }
+        if keeps_data {
+            self.held.grow(data.len());
         }
+        self.buffered.push(data.clone());
     }
 
     fn fail(&mut self, error: body_error::BodyError) -> Result<Bytes, body_error::BodyError> {
@@ -222,7 +239,7 @@
         if inner.reader != this.reader {
             return task::Poll::Ready(Some(Err(body_error::BodyError::Superseded)));
         }
-        let data = std::task::ready!(inner.poll_incoming(cx));
+        let data = std::task::ready!(inner.poll_incoming(cx, false));
         this.position = inner.buffered.len();
         task::Poll::Ready(data.map(|result| result.map(body::Frame::data)))
     }
