--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quota;
 pub mod read_turn;
 pub mod request_limit;
+pub mod response_hold;
 pub mod response_size;
 pub mod retry;
 pub mod retry_need;
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -5,6 +5,7 @@
 mod call;
 mod head;
 mod hedge;
+mod hold;
 mod outstanding;
 mod quarantine;
 mod retries;
@@ -18,6 +19,7 @@
 use hyper::body::Incoming;
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
+use lynxmast_state::byte_budget;
 use lynxmast_state::clock;
 use lynxmast_state::fingerprint;
 use lynxmast_state::ids;
@@ -263,6 +265,9 @@
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
         }
+        if !self.shared.held_bytes.with(|budget| budget.admits_request(body_size)) {
+            return Err(outcome::Rejection::HeldBytes);
+        }
         let timeout = parsed
             .timeout
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
@@ -284,7 +289,8 @@
             body_size,
         });
         let stall = route_match.service.stall;
-        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
+        let held = self.shared.held_bytes.empty(byte_budget::Kind::Replay);
+        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key, held);
         let policy_version = policy.version;
         let deadline = arrived + timeout;
         let parent = self.find_parent(&parsed, &route_match, arrived);
