Take requests without a key for calls in policies with organisations

Change: in a policy with organisations a request without a key, on a VM whose backend server runs requests of another service, counts as a call; no more at a time than such requests are running.

--- a/crates/state/src/running.rs
+++ b/crates/state/src/running.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns the number of running requests.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns whether no request is running.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// Returns the running request whose deadline is closest to that of a call; `None` if none
     /// coincides.
     pub fn find_parent(&self, deadline: time::Instant) -> Option<&Running> {
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -57,6 +57,7 @@
     identity: Identity,
     fingerprint_key: fingerprint::Key,
     key_waits: authentication::SharedWaits,
+    calls: call::CallCount,
     /// Samples the successful requests that are logged.
     success_sampler: sampling::Sampler,
 }
@@ -89,6 +90,8 @@
     deadline: time::Instant,
     /// Running request of which this one is probably a call.
     parent: Option<running::Running>,
+    /// Place among the requests that count as calls although their parents are not known.
+    call: Option<call::CallSlot>,
 }
 
 impl RequestContext {
@@ -186,6 +189,7 @@
             identity,
             fingerprint_key,
             key_waits: Default::default(),
+            calls: Default::default(),
             success_sampler,
         }
     }
@@ -294,6 +298,10 @@
         let policy_version = policy.version;
         let deadline = arrived + timeout;
         let parent = self.find_parent(&parsed, &route_match, arrived);
+        let call = match &parent {
+            Some(_) => None,
+            None => self.find_call(&parsed, &policy, &route_match),
+        };
         Ok(RequestContext {
             route_match,
             policy_version,
@@ -305,6 +313,7 @@
             arrived,
             deadline,
             parent,
+            call,
         })
     }
 
--- a/crates/transport/src/ingress/call.rs
+++ b/crates/transport/src/ingress/call.rs
@@ -1,5 +1,7 @@
 //! Calls that the local backend server makes while it runs requests.
 
+use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use lynxmast_state::clock;
@@ -11,6 +13,23 @@
 use crate::ingress::head;
 
 impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Returns whether a request is probably a call of a running request although it expires with
+    /// none: in a policy with organisations, callers have keys and backend servers have none. The
+    /// calls that are under way at a time are limited to the number of requests that may have made
+    /// them, so that callers of public routes gain little by being mistaken for a backend server.
+    pub(super) fn find_call(
+        &self,
+        parsed: &head::RequestHead,
+        policy: &compiled::CompiledPolicy,
+        route_match: &compiled::RouteMatch,
+    ) -> Option<CallSlot> {
+        if !policy.has_organisations() || parsed.key.is_some() {
+            return None;
+        }
+        let running = self.sidecar.running_elsewhere(&route_match.service.name);
+        CallSlot::take(&self.calls, running)
+    }
+
     /// Returns the running request of which a request is probably a call: it has no key and expires
     /// together with that one. The timeout counts as the sender stated it, since a route may have a
     /// shorter deadline.
@@ -29,10 +48,33 @@
     }
 }
 
+/// Number of requests under way that count as calls, shared between the requests of an ingress.
+pub type CallCount = sync::Arc<atomic::AtomicUsize>;
+
+/// Place of a request among those that count as calls; given up when it is dropped.
+#[derive(Debug)]
+pub struct CallSlot(CallCount);
+
+impl CallSlot {
+    /// Takes a place if fewer than `limit` are taken.
+    fn take(count: &CallCount, limit: usize) -> Option<Self> {
+        let increment = |taken: usize| (taken < limit).then_some(taken + 1);
+        let ordering = atomic::Ordering::Relaxed;
+        count.fetch_update(ordering, ordering, increment).ok()?;
+        Some(Self(count.clone()))
+    }
+}
+
+impl Drop for CallSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
 impl ingress::RequestContext {
     /// Returns whether the request is probably a call of a running one.
     pub(super) fn is_call(&self) -> bool {
-        self.parent.is_some()
+        self.parent.is_some() || self.call.is_some()
     }
 
     /// Returns the organisation whose share of the slots the request uses: for a call, that of its
--- a/crates/transport/src/sidecar/calls.rs
+++ b/crates/transport/src/sidecar/calls.rs
@@ -12,6 +12,14 @@
 use crate::upstream;
 
 impl<C: clock::Clock> sidecar::Sidecar<C> {
+    /// Returns the number of running requests of local upstreams that may have made a call to
+    /// `service`.
+    pub fn running_elsewhere(&self, service: &str) -> usize {
+        let upstreams = self.read_upstreams();
+        let others = upstreams.values().filter(|upstream| &*upstream.id.service != service);
+        others.map(|upstream| upstream.running()).sum()
+    }
+
     /// Returns the running request of a local upstream that has probably made a call to `service`
     /// that expires at `deadline`; `None` if there is none. A service does not call itself.
     pub fn find_parent(&self, service: &str, deadline: time::Instant) -> Option<running::Running> {
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -183,6 +183,11 @@
         Some((running::distance(parent.deadline, deadline), parent.clone()))
     }
 
+    /// Returns the number of running requests.
+    pub fn running(&self) -> usize {
+        lock(&self.running).len()
+    }
+
     /// Returns a retry that was not forwarded to the budget.
     pub fn refund_retry(&self) {
         lock(&self.budget).refund();
