--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -134,6 +134,23 @@
         }
         ("not-run", "no-route") => "the active policy has no route for it".to_owned(),
         ("not-run", "no-policy") => "the daemon had not received any policy yet".to_owned(),
+        ("not-run", "unknown-key") => format!(
+            "its key was missing, or unknown in policy version {}; the daemon knew of no newer one",
+            end.value("policy")
+        ),
+        ("not-run", "policy-behind") if !end.value("newest").is_empty() => format!(
+            "its key was unknown in policy version {}, and the daemon could not get version {} in \
+             time",
+            end.value("policy"),
+            end.value("newest")
+        ),
+        ("not-run", "policy-behind") => {
+            "a sidecar did not get the policy version of the ingress in time".to_owned()
+        }
+        ("not-run", "forbidden") => format!(
+            "its organisation belongs to another team than the route in policy version {}",
+            end.value("policy")
+        ),
         ("may-have-run", "connection-lost") => {
             "the connection was lost after the request had been forwarded".to_owned()
         }
--- a/crates/lynxmast/src/request_trace/tests.rs
+++ b/crates/lynxmast/src/request_trace/tests.rs
@@ -62,3 +62,17 @@
     assert!(trace.cause().contains(expected), "{}", trace.cause());
     assert!(!trace.cause().contains("were spent at sidecar"), "{}", trace.cause());
 }
+
+// Guards against rejections for a key of which operators cannot tell whether the daemon was behind.
+#[test_case("unknown-key", "policy=7 newest=7", "unknown in policy version 7"; "unknown key")]
+#[test_case("policy-behind", "policy=7 newest=9", "could not get version 9"; "newer version not fetched")]
+#[test_case("policy-behind", "attempts=1", "a sidecar did not get"; "sidecar behind")]
+#[test_case("forbidden", "policy=7 newest=7", "another team"; "other team")]
+fn cause_names_the_policy_version(reason: &str, fields: &str, expected: &str) {
+    let text = format!(
+        "2026-02-17T04:11:44.100Z INFO event=request id=a1 outcome=not-run reason={reason} {fields}"
+    );
+    let log = log(&text);
+    let trace = RequestTrace::collect("a1", &log).expect("the log has the request");
+    assert!(trace.cause().contains(expected), "{}", trace.cause());
+}
--- a/crates/lynxmast/src/status.rs
+++ b/crates/lynxmast/src/status.rs
@@ -21,6 +21,15 @@
     let state = if status.leaving { "leaving" } else { "serving" };
     let log = if status.log { "responds" } else { "does not respond" };
     println!("daemon {} is {state}, policy version {}, log {log}", status.daemon, status.policy);
+    let newest = status.members.iter().map(|member| member.policy).max().unwrap_or(0);
+    if newest > status.policy {
+        println!(
+            "policy version {newest} is active elsewhere: unknown keys wait for it or get 503"
+        );
+    }
+    if status.organisations > 0 {
+        println!("organisations: {}, unknown keys are rejected", status.organisations);
+    }
     if status.source_epoch > 0 {
         println!("epoch of the policy source: {}", status.source_epoch);
     }
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -38,6 +38,7 @@
             daemon: own.daemon,
             leaving: self.sidecar.is_shutting_down(),
             policy: own.policy,
+            organisations: self.shared.policy().organisation_count(),
             log: self.follower.source_reachable.load(atomic::Ordering::Acquire),
             source_epoch,
             upstreams: self.upstreams(),
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -29,6 +29,9 @@
         pub leaving: bool,
         /// Version of the active policy.
         pub policy: ids::PolicyVersion,
+        /// Number of organisations in the active policy; without any, no key has a meaning.
+        #[serde(default)]
+        pub organisations: usize,
         /// Whether the most recent call to the source of the policy (log or store) succeeded.
         pub log: bool,
         /// Newest epoch of the policy source known to the daemon; 0 if unknown.
--- a/crates/state/src/policy/compiled.rs
+++ b/crates/state/src/policy/compiled.rs
@@ -146,6 +146,11 @@
         !self.organisations.by_name.is_empty()
     }
 
+    /// Returns the number of organisations.
+    pub fn organisation_count(&self) -> usize {
+        self.organisations.by_name.len()
+    }
+
     /// Returns the number of organisations whose entry is shared with `other`.
     pub fn shared_entries(&self, other: &CompiledPolicy) -> usize {
         let others = &other.organisations.by_name;
--- a/crates/testing/examples/measure/organisations.rs
+++ b/crates/testing/examples/measure/organisations.rs
@@ -21,6 +21,9 @@
 /// Repetitions of each change; the figure is their median.
 const REPETITIONS: u64 = 9;
 
+/// Change of a section; the number differs between calls.
+type Change = fn(&mut section::Section, u64);
+
 /// Measures the first load of a policy, and loads after a change of one key, of one route, and of
 /// nothing but the version.
 pub fn measure() {
@@ -41,7 +44,7 @@
     let loaded = process::resident_bytes() - before;
     report::figure("organisations.loaded", mb(loaded), "MB");
     let mut version = 1;
-    let changes: [(&str, fn(&mut section::Section, u64)); 3] = [
+    let changes: [(&str, Change); 3] = [
         ("key", |section, n| {
             let key_hashes = vec![organisation::hash_key(&format!("new-{n}"))];
             section.organisation[n as usize].key_hashes = key_hashes;
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -187,7 +187,7 @@
             Ok(context) => context,
             Err(rejection) => {
                 let outcome = outcome::Outcome::NotRun(rejection);
-                telemetry::log_rejection(id.as_ref(), outcome);
+                self.log_rejection(id.as_ref(), rejection);
                 telemetry::count_outcome("", outcome);
                 return error_response::for_outcome(outcome, None, scheme);
             }
--- a/crates/transport/src/ingress/authentication.rs
+++ b/crates/transport/src/ingress/authentication.rs
@@ -64,6 +64,7 @@
         let version = match self.look_up(head)? {
             LookUp::Found(authenticated) => return Ok(authenticated),
             LookUp::UnknownKey { is_missing: true, .. } => {
+                count(outcome::Rejection::UnknownKey);
                 return Err(outcome::Rejection::UnknownKey);
             }
             LookUp::UnknownKey { version, .. } => version,
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -87,6 +87,25 @@
         );
     }
 
+    /// Logs a request that the ingress rejects before it is routed, with the policy version by which
+    /// it did, and the newest one that it knows of.
+    pub(super) fn log_rejection(
+        &self,
+        id: Option<&http::HeaderValue>,
+        rejection: outcome::Rejection,
+    ) {
+        let outcome = outcome::Outcome::NotRun(rejection);
+        log::info!(
+            event = "request",
+            id = id_text(id),
+            outcome = outcome.as_str(),
+            reason = outcome.reason(),
+            policy = self.shared.policy().version,
+            newest = self.shared.membership().newest_policy(self.shared.now());
+            "request rejected by ingress"
+        );
+    }
+
     /// Logs a failed attempt.
     pub(super) fn log_attempt<B>(
         &self,
@@ -135,17 +154,6 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
-/// Logs a request that the ingress rejects before it is routed.
-pub fn log_rejection(id: Option<&http::HeaderValue>, outcome: outcome::Outcome) {
-    log::info!(
-        event = "request",
-        id = id_text(id),
-        outcome = outcome.as_str(),
-        reason = outcome.reason();
-        "request rejected by ingress"
-    );
-}
-
 /// Counts a request by service, outcome and reason.
 pub fn count_outcome(service: &str, outcome: outcome::Outcome) {
     metrics::counter!(
