--- a/crates/coordination/src/quota_borrower.rs
+++ b/crates/coordination/src/quota_borrower.rs
@@ -112,6 +112,8 @@
         // A response after the timeout is dropped, as the ingress may have asked again by then.
         let response = tokio::time::timeout(spender::ASK_TIMEOUT, response).await;
         let grants = response.ok().and_then(Result::ok).unwrap_or_default();
+        let result = if grants.is_empty() { "none" } else { "granted" };
+        metrics::counter!("lynxmast_quota_asks_total", "result" => result).increment(1);
         self.lock_busy().swap_remove(&owner);
         self.apply(&asks, &grants, sent);
     }
@@ -128,3 +130,6 @@
         self.busy.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -126,6 +126,18 @@
             "the upstreams get as many requests per second as the limits allow that they name"
                 .to_owned()
         }
+        ("not-run", "rate-limited") if end.value("owner") == "no-response" => format!(
+            "the owner of the quota of organisation '{}' did not respond in time",
+            end.value("organisation")
+        ),
+        ("not-run", "rate-limited") => format!(
+            "organisation '{}' was over its quota of {} requests/s and a burst of {} in the whole \
+             fleet; there was room {} ms later",
+            end.value("organisation"),
+            end.value("rate"),
+            end.value("burst"),
+            end.value("room_ms")
+        ),
         ("not-run", "quarantined") => {
             "upstreams had crashed while they ran copies of it, so it is quarantined".to_owned()
         }
--- a/crates/lynxmast/src/request_trace/tests.rs
+++ b/crates/lynxmast/src/request_trace/tests.rs
@@ -62,3 +62,16 @@
     assert!(trace.cause().contains(expected), "{}", trace.cause());
     assert!(!trace.cause().contains("were spent at sidecar"), "{}", trace.cause());
 }
+
+#[test_case("responds", "organisation 'mailers' was over its quota of 40 requests/s and a burst of 60"; "over the quota")]
+#[test_case("no-response", "the owner of the quota of organisation 'mailers' did not respond"; "owner silent")]
+fn cause_names_the_quota(owner: &str, expected: &str) {
+    let text = format!(
+        "2026-02-17T04:11:44.100Z INFO request rejected by ingress event=request id=a1 \
+         outcome=not-run reason=rate-limited organisation=mailers rate=40 burst=60 owner={owner} \
+         room_ms=300\n"
+    );
+    let log = log(&text);
+    let trace = RequestTrace::collect("a1", &log).expect("the log has the request");
+    assert!(trace.cause().contains(expected), "{}", trace.cause());
+}
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -9,12 +9,16 @@
 use lynxmast_coordination::log_follower;
 use lynxmast_protocol::admin as api;
 use lynxmast_state::clock;
+use lynxmast_state::quota::spender;
 use lynxmast_state::shared_state;
 use lynxmast_transport::client;
 use lynxmast_transport::server;
 use lynxmast_transport::sidecar;
 use metrics_exporter_prometheus as prometheus;
 
+/// Label of the organisations that are not named in the metrics of quotas; a name cannot be empty.
+const OTHER_ORGANISATIONS: &str = "";
+
 /// Administration interface of one daemon.
 pub struct Admin<C: clock::Clock> {
     /// State shared by the tasks of the daemon.
@@ -136,7 +140,10 @@
                 self.record_availability();
                 self.record_suspects();
                 self.record_limits();
+                metrics::gauge!("lynxmast_quotas_owned")
+                    .set(self.shared.quota_owner().len() as f64);
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
+                let text = text.map(|text| text + &quota_metrics(&self.shared.spender().counts()));
                 (ok, Bytes::from(text.unwrap_or_default()))
             }
             api::LIVE_PATH => (ok, Bytes::from_static(b"live\n")),
@@ -149,6 +156,22 @@
     }
 }
 
+/// Returns the metrics of quotas in the text format of Prometheus. They are not recorded as other
+/// metrics are, as the label of an organisation that is no longer among the busiest would stay.
+fn quota_metrics(counts: &[spender::Counts]) -> String {
+    let mut text = String::from("# TYPE lynxmast_quota_requests gauge\n");
+    for count in counts {
+        let name = count.organisation.as_deref().unwrap_or(OTHER_ORGANISATIONS);
+        let name = name.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+        for (decision, value) in [("admitted", count.admitted), ("rejected", count.rejected)] {
+            text += &format!(
+                "lynxmast_quota_requests{{organisation=\"{name}\",decision=\"{decision}\"}} {value}\n"
+            );
+        }
+    }
+    text
+}
+
 impl<C: clock::Clock> server::Handler for Admin<C> {
     type Body = client::FullBody;
 
@@ -165,3 +188,6 @@
         client::response(status, body)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -257,6 +257,7 @@
         seeds: discovery::Seeds,
         control_port: tcp::TcpListener,
     ) -> peer_sync::PeerSync<C> {
+        self.shared.quota_owner().set_bounds(settings.quota.bounds());
         let daemon = settings.name.clone();
         let sender = control::Sender { daemon, secret: settings.secret.clone() };
         let client = sync::Arc::new(control_client::ControlClient::new(sender));
--- a/crates/lynxmastd/src/settings.rs
+++ b/crates/lynxmastd/src/settings.rs
@@ -7,6 +7,7 @@
 use displaydoc::Display;
 use lynxmast_platform::duration_text;
 use lynxmast_state::ids;
+use lynxmast_state::quota::bounds;
 use lynxmast_state::router;
 use lynxmast_state::validation;
 
@@ -47,6 +48,25 @@
         /// Service policy that documents from the store do not contain.
         #[serde(skip)]
         pub services: Services,
+        /// How far organisations may exceed their quotas.
+        #[serde(skip)]
+        pub quota: Quota,
+    }
+
+    /// In any `window`, at most (rate x window + burst) x (1 + `excess`) + `slack` requests of an
+    /// organisation run in the whole fleet.
+    #[serde(default, deny_unknown_fields)]
+    pub struct Quota {
+        /// Length of the window.
+        #[serde(
+            deserialize_with = "deserialize_duration",
+            serialize_with = "humantime_serde::serialize"
+        )]
+        pub window: time::Duration,
+        /// Fraction by which a quota may be exceeded.
+        pub excess: f64,
+        /// Number of requests by which a quota may be exceeded in addition to `excess`.
+        pub slack: f64,
     }
 
     /// Service policy that comes from the settings because policy documents from the store do not
@@ -129,10 +149,25 @@
             advertise: Advertise::default(),
             limits: Limits::default(),
             services: Services::default(),
+            quota: Quota::default(),
         }
     }
 }
 
+impl Default for Quota {
+    fn default() -> Self {
+        let bounds::Bounds { window, excess, slack } = bounds::Bounds::default();
+        Self { window, excess, slack }
+    }
+}
+
+impl Quota {
+    /// Returns the settings as bounds.
+    pub fn bounds(&self) -> bounds::Bounds {
+        bounds::Bounds { window: self.window, excess: self.excess, slack: self.slack }
+    }
+}
+
 impl Default for Services {
     fn default() -> Self {
         let retry_window = time::Duration::from_secs(10);
@@ -203,6 +238,10 @@
 const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
 const RETRY_WINDOW_MIN: time::Duration = time::Duration::from_millis(100);
 const RETRY_WINDOW_MAX: time::Duration = time::Duration::from_secs(600);
+const QUOTA_WINDOW_MIN: time::Duration = time::Duration::from_millis(100);
+const QUOTA_WINDOW_MAX: time::Duration = time::Duration::from_secs(60);
+const QUOTA_EXCESS_MAX: f64 = 10.0;
+const QUOTA_SLACK_MAX: f64 = 1_000_000.0;
 const SHUTDOWN_MAX: time::Duration = time::Duration::from_secs(24 * 3600);
 
 impl Settings {
@@ -251,11 +290,13 @@
         let advertise = take_table(&mut table, "advertise", &mut reader);
         let limits = take_table(&mut table, "limits", &mut reader);
         let services = take_table(&mut table, "services", &mut reader);
+        let quota = take_table(&mut table, "quota", &mut reader);
         let mut settings: Settings = reader.read(table, &validation::Location::TOP);
         settings.listen = reader.read(listen, &location("listen"));
         settings.advertise = reader.read(advertise, &location("advertise"));
         settings.limits = reader.read(limits, &location("limits"));
         settings.services = reader.read(services, &location("services"));
+        settings.quota = reader.read(quota, &location("quota"));
         settings.validate(&mut reader);
         if reader.problems.is_empty() { Ok(settings) } else { Err(reader.problems) }
     }
@@ -303,6 +344,13 @@
             "floor-share",
             "is not in the range 0 to 1",
         );
+        let quota = &location("quota");
+        let window_ok = (QUOTA_WINDOW_MIN..=QUOTA_WINDOW_MAX).contains(&self.quota.window);
+        require(window_ok, quota, "window", "is not in the range 100ms to 60s");
+        let excess_ok = (0.0..=QUOTA_EXCESS_MAX).contains(&self.quota.excess);
+        require(excess_ok, quota, "excess", "is not in the range 0 to 10");
+        let slack_ok = (0.0..=QUOTA_SLACK_MAX).contains(&self.quota.slack);
+        require(slack_ok, quota, "slack", "is not in the range 0 to 1000000");
         let limits = &location("limits");
         let connections_ok = (1..=CONNECTIONS_MAX).contains(&self.limits.connections);
         require(connections_ok, limits, "connections", "is not in the range 1 to 1000000");
--- a/crates/lynxmastd/src/settings/tests.rs
+++ b/crates/lynxmastd/src/settings/tests.rs
@@ -83,3 +83,22 @@
 fn numbers_out_of_range_are_reported(line: &str, key: &str) {
     check_problem(&format!("[services]\n{line}\n"), key, Some(6));
 }
+
+#[test_case("", (5000, 0.1, 20.0); "defaults")]
+#[test_case("window = '2.5s'\nexcess = 0.05\nslack = 12.5\n", (2500, 0.05, 12.5); "fractions")]
+#[test_case("window = '10s'\nexcess = 0\nslack = 0\n", (10_000, 0.0, 0.0); "integers")]
+fn quotas_have_a_window_an_excess_and_a_slack(lines: &str, expected: (u128, f64, f64)) {
+    let settings = Settings::parse(&format!("{VALID}[quota]\n{lines}"));
+    let quota = settings.expect("the settings are valid").quota;
+    assert_eq!((quota.window.as_millis(), quota.excess, quota.slack), expected);
+}
+
+#[test_case("window = '0s'", "quota.window"; "window of zero")]
+#[test_case("window = 5", "quota.window"; "window without a unit")]
+#[test_case("excess = -0.1", "quota.excess"; "negative excess")]
+#[test_case("excess = nan", "quota.excess"; "excess that is not a number")]
+#[test_case("slack = inf", "quota.slack"; "infinite slack")]
+#[test_case("burst = 3", "quota.burst"; "unknown key")]
+fn bounds_of_quotas_out_of_range_are_reported(line: &str, key: &str) {
+    check_problem(&format!("[quota]\n{line}\n"), key, Some(6));
+}
--- a/crates/state/src/quota/simulation.rs
+++ b/crates/state/src/quota/simulation.rs
@@ -217,8 +217,8 @@
                 self.admitted.entry(organisation).or_default().push(self.now_ms);
             }
             spender::Decision::Wait(_) => ingress.waiting.push((organisation, at)),
-            spender::Decision::Reject(room) => {
-                self.rooms.push(room);
+            spender::Decision::Reject(refusal) => {
+                self.rooms.push(refusal.room);
                 self.rejected.entry(organisation).or_default().push(self.now_ms);
             }
         }
--- a/crates/state/src/quota/spender.rs
+++ b/crates/state/src/quota/spender.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::ids;
 use crate::quota;
@@ -13,6 +14,8 @@
 #[derive(Debug, Default)]
 pub struct Spender {
     organisations: IndexMap<ids::OrganisationName, Usage>,
+    /// Organisations for which an ask may be due.
+    due: IndexSet<ids::OrganisationName>,
 }
 
 /// Decision about one request.
@@ -22,8 +25,17 @@
     Admit,
     /// The request waits until the next grant arrives, but not after the time given.
     Wait(time::Instant),
-    /// The request is rejected; there is room after the time given.
-    Reject(time::Duration),
+    /// The request is rejected.
+    Reject(Refusal),
+}
+
+/// Why a request is rejected, and when there is room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Time after which there is room.
+    pub room: time::Duration,
+    /// Whether the owner of the quota did not respond, so that the quota may not be exhausted.
+    pub is_unreachable: bool,
 }
 
 /// Change of an organisation's state at this ingress, for log lines.
@@ -143,7 +155,7 @@
             self.organisations.insert(organisation.clone(), Usage::new(*limit, now));
         }
         let Some(usage) = self.organisations.get_mut(organisation) else {
-            return Decision::Reject(LOST_BACKOFF);
+            return Decision::Reject(Refusal { room: LOST_BACKOFF, is_unreachable: true });
         };
         usage.limit = *limit;
         usage.last_request = now;
@@ -151,7 +163,11 @@
         if is_new {
             usage.demand.add(1.0, now);
         }
-        usage.decide(arrived, is_new, now)
+        let decision = usage.decide(arrived, is_new, now);
+        if usage.is_ask_due(now) {
+            self.due.insert(organisation.clone());
+        }
+        decision
     }
 
     /// Returns whether an ask for the organisation is due.
@@ -161,8 +177,14 @@
 
     /// Returns the asks that are due. They count as sent at `now`.
     pub fn asks(&mut self, now: time::Instant) -> Vec<message::Ask> {
-        let due = self.organisations.iter_mut().filter(|(_, usage)| usage.is_ask_due(now));
-        due.map(|(name, usage)| usage.ask(name, now)).collect()
+        let mut asks = Vec::new();
+        for name in std::mem::take(&mut self.due) {
+            let usage = self.organisations.get_mut(&name);
+            if let Some(usage) = usage.filter(|usage| usage.is_ask_due(now)) {
+                asks.push(usage.ask(&name, now));
+            }
+        }
+        asks
     }
 
     /// Takes back asks that were not sent, as another to the same owner is on its way.
@@ -170,6 +192,7 @@
         for ask in asks {
             let Some(usage) = self.organisations.get_mut(&ask.organisation) else { continue };
             usage.asked = None;
+            self.due.insert(ask.organisation.clone());
         }
     }
 
@@ -196,6 +219,7 @@
                     usage.blocked_until = now + LOST_BACKOFF;
                 }
             }
+            self.due.insert(ask.organisation.clone());
         }
     }
 
@@ -307,7 +331,7 @@
             self.room = first;
         }
         self.room = self.room.max(first) + time::Duration::from_secs_f64((1.0 / rate).min(1.0));
-        Decision::Reject(self.room - now)
+        Decision::Reject(Refusal { room: self.room - now, is_unreachable: self.is_unreachable })
     }
 
     /// Returns the number of unexpired tokens.
--- a/crates/state/src/quota/tests.rs
+++ b/crates/state/src/quota/tests.rs
@@ -372,3 +372,23 @@
     }
     panic!("the planted error was not detected: {worst} of the bound");
 }
+
+#[test]
+fn a_bounded_number_of_organisations_is_counted_by_name() {
+    let now = time::Instant::now();
+    let mut spender = spender::Spender::default();
+    for n in 0..1000 {
+        let name = format!("o{n}").as_str().into();
+        for _ in 0..=n % 7 {
+            spender.admit(&name, &limit(1.0), now, now);
+        }
+        if n < 500 {
+            let late = now + spender::WAIT_MAX;
+            spender.admit(&name, &limit(1.0), now, late);
+        }
+    }
+    let counts = spender.counts();
+    let names = counts.iter().filter(|count| count.organisation.is_some()).count();
+    assert!((1..=20).contains(&names), "{names}");
+    assert_eq!(counts.iter().map(|count| count.rejected).sum::<u64>(), 500);
+}
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -182,11 +182,11 @@
                 return error_response::for_outcome(outcome, None, scheme);
             }
         };
-        if let Err(room) = self.check_quota(&context.route_match).await {
+        if let Err(refusal) = self.check_quota(&context.route_match).await {
             let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
-            telemetry::log_over_quota(id.as_ref(), &context.route_match, room);
+            telemetry::log_over_quota(id.as_ref(), &context.route_match, refusal);
             telemetry::count_outcome("", outcome);
-            return error_response::for_outcome(outcome, Some(room), scheme);
+            return error_response::for_outcome(outcome, Some(refusal.room), scheme);
         }
         let service = context.route_match.service.name.clone();
         let mut progress = progress::Progress::default();
@@ -321,8 +321,11 @@
     ///
     /// # Errors
     ///
-    /// Returns after what time there is room if the request is to be rejected.
-    async fn check_quota(&self, route_match: &compiled::RouteMatch) -> Result<(), time::Duration> {
+    /// Returns when there is room if the request is to be rejected.
+    async fn check_quota(
+        &self,
+        route_match: &compiled::RouteMatch,
+    ) -> Result<(), spender::Refusal> {
         let Some(limit) = route_match.quota else { return Ok(()) };
         let signals = &self.sidecar.quota_signals;
         let organisation = &route_match.organisation;
@@ -337,7 +340,7 @@
             }
             match decision {
                 spender::Decision::Admit => return Ok(()),
-                spender::Decision::Reject(room) => return Err(room),
+                spender::Decision::Reject(refusal) => return Err(refusal),
                 spender::Decision::Wait(until) => {
                     let remaining = until.saturating_duration_since(now);
                     let _ = tokio::time::timeout(remaining, granted).await;
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -7,6 +7,7 @@
 use lynxmast_state::outcome;
 use lynxmast_state::policy::compiled;
 use lynxmast_state::progress;
+use lynxmast_state::quota::spender;
 use lynxmast_state::retry;
 
 use crate::ingress;
@@ -147,11 +148,11 @@
     );
 }
 
-/// Logs a request that was rejected as its organisation is over its quota.
+/// Logs a request that was rejected under the quota of its organisation.
 pub fn log_over_quota(
     id: Option<&http::HeaderValue>,
     route_match: &compiled::RouteMatch,
-    room: time::Duration,
+    refusal: spender::Refusal,
 ) {
     let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
     let quota = route_match.quota;
@@ -163,7 +164,8 @@
         organisation = &*route_match.organisation,
         rate = quota.map_or(0.0, |limit| limit.rate),
         burst = quota.map_or(0.0, |limit| limit.burst),
-        room_ms = room.as_millis() as u64;
+        owner = if refusal.is_unreachable { "no-response" } else { "responds" },
+        room_ms = refusal.room.as_millis() as u64;
         "request rejected by ingress"
     );
 }
