Limit the requests that run at an upstream that rejects beyond its capacity

All backend servers of a service rejected half of their arrivals for 8 s, and 1,515 of 12,000 requests ended that way: sidecars kept sending as many requests as there are slots, and each rejection cost a retry.

A sidecar now finds out beside how many running requests others are rejected and sends fewer, or, if others are accepted beside as many, treats the rejections as random and keeps all slots in use. The usable slots are reported with the load. Requests that were not run no longer count in the mean service time, which their short times had lowered.

A limit for the service as a whole and the comparison of published limiters are not done.

--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::concurrency_limit;
 use crate::fair_queue;
 use crate::ids;
 use crate::load;
@@ -125,6 +126,8 @@
     slot_usage: slot_usage::SlotUsage,
     /// Recent arrivals and starts, by kind of request.
     served_shares: precedence::ServedShares,
+    /// Limit while the backend server rejects requests.
+    concurrency: concurrency_limit::ConcurrencyLimit,
     /// Limit that the backend server names.
     limiter: request_limit::RequestLimiter,
 }
@@ -168,6 +171,7 @@
             fair_usage: statistics::MovingAverage::new(FAIR_USAGE_HALF_LIFE),
             slot_usage: slot_usage::SlotUsage::default(),
             served_shares: Default::default(),
+            concurrency: Default::default(),
             limiter: request_limit::RequestLimiter::default(),
         }
     }
@@ -188,6 +192,7 @@
         self.ramp_start = now;
         self.draining = false;
         self.limiter.set_limit(None, now);
+        self.concurrency = Default::default();
     }
 
     /// Sets the requests per second that the backend server accepts; `None` without a limit.
@@ -208,6 +213,28 @@
         self.limiter.room(self.queue.len(), now)
     }
 
+    /// Records a response of the backend server, and whether it states that it did not run the
+    /// request. `sent` is when the request was sent, and `running` the number of slots in use then.
+    pub fn record_response(
+        &mut self,
+        is_rejected: bool,
+        running: u32,
+        sent: time::Instant,
+        now: time::Instant,
+    ) {
+        self.concurrency.record(is_rejected, running, self.limits.slots, sent, now);
+    }
+
+    /// Returns why the backend server rejects requests.
+    pub fn rejection_cause(&self, now: time::Instant) -> concurrency_limit::Cause {
+        self.concurrency.cause(self.limits.slots, now)
+    }
+
+    /// Returns the fraction of recent requests that the backend server rejected.
+    pub fn rejection_rate(&self) -> f64 {
+        self.concurrency.rejection_rate()
+    }
+
     /// Counts a request towards the limit that is sent again under the slot that it has.
     pub fn charge_resend(&mut self, now: time::Instant) {
         self.limiter.charge(now);
@@ -396,8 +423,13 @@
         }
     }
 
-    /// Returns the number of slots open at `now`: one at the start of the ramp, all at its end.
+    /// Returns the number of slots open at `now`: one at the start of the ramp, all at its end, fewer
+    /// while the backend server rejects requests for lack of capacity.
     fn open_slots(&self, now: time::Instant) -> u32 {
+        self.ramped_slots(now).min(self.concurrency.slots(self.limits.slots, now))
+    }
+
+    fn ramped_slots(&self, now: time::Instant) -> u32 {
         let age = now.saturating_duration_since(self.ramp_start);
         if age >= self.limits.ramp {
             return self.limits.slots;
--- a/crates/state/src/admission/tests.rs
+++ b/crates/state/src/admission/tests.rs
@@ -244,3 +244,26 @@
     admission.release(ShareClass::Fair, None, later);
     assert_eq!(admission.dequeue(later), [Dequeued::Admit(2, ShareClass::Fair)]);
 }
+
+/// Half of the slots of an upstream that rejects everything beyond them. Guards against arrivals
+/// that are sent only to be rejected, and against ingresses that take its slots for free.
+#[test]
+fn half_of_the_arrivals_rejected_requests_wait_instead_of_being_sent() {
+    let now = time::Instant::now();
+    let mut admission = Admission::new(limits(8, 16), now);
+    for n in 0..8 {
+        assert!(matches!(admission.admit(&arrival(now), n, now), Decision::Admit(..)));
+    }
+    let later = now + SECOND / 2;
+    for at in [now, later] {
+        admission.record_response(true, 5, at, at);
+    }
+    (0..5).for_each(|_| admission.release(ShareClass::Fair, None, later));
+    assert_eq!(admission.load(later).slots, 4);
+    assert!(matches!(admission.admit(&arrival(later), 8, later), Decision::Admit(..)));
+    assert!(matches!(admission.admit(&arrival(later), 9, later), Decision::Queue { .. }));
+    assert_eq!(admission.dequeue(later), []);
+    let recovered = later + SECOND * 99 / 100;
+    assert_eq!(admission.load(recovered).slots, 8);
+    assert!(matches!(admission.dequeue(recovered)[..], [Dequeued::Admit(9, _)]));
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod backoff;
 pub mod byte_budget;
 pub mod clock;
+pub mod concurrency_limit;
 pub mod event;
 pub mod fair_queue;
 pub mod fingerprint;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -215,6 +215,10 @@
         connection.apply_keep_alive(response.headers());
         if let Some(rejection) = rejection {
             recorder.record_end(retry::AttemptEnd::NotRun(rejection));
+            slot.mark_not_run();
+            if rejection == outcome::Rejection::Shed {
+                upstream.record_rejection(&slot, true);
+            }
             if rejection == outcome::Rejection::Misdirected {
                 upstream.revoke_lease(instance.as_ref());
             }
@@ -227,6 +231,7 @@
             exchange.discard();
             return Err(retry::AttemptEnd::NotRun(rejection));
         }
+        upstream.record_rejection(&slot, false);
         let is_error = response.status().is_server_error();
         observed.dependency_failed = is_error && self.may_be_dependency_error(self.shared.now());
         if observed.dependency_failed {
--- a/crates/transport/src/sidecar/calls.rs
+++ b/crates/transport/src/sidecar/calls.rs
@@ -32,6 +32,7 @@
     let mean = upstream.service_time().unwrap_or_default();
     let is_on_time = priority.meets_objective(now + mean) && mean < envelope.time_left;
     let success = 1.0 - f64::from(upstream.failure_percent(now)) / 100.0;
+    let success = success * (1.0 - upstream.rejection_rate());
     let (is_call, rank) = (envelope.is_call, envelope.rank);
     retry_need::RetryNeed { is_call, rank, not_run: envelope.not_run, is_on_time, success }
 }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -8,6 +8,7 @@
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::concurrency_limit;
 use lynxmast_state::ids;
 use lynxmast_state::load;
 use lynxmast_state::outcome;
@@ -44,6 +45,8 @@
     retryable: atomic::AtomicU32,
     /// Requests in flight that have not been counted as overdue.
     pending: sync::Mutex<PendingRequests>,
+    /// Why the backend server rejects requests, as logged last.
+    rejection_cause: sync::Mutex<concurrency_limit::Cause>,
     /// Requests that hold a slot.
     running: sync::Mutex<running::RunningRequests>,
     /// Last check whether the backend server still runs.
@@ -103,6 +106,8 @@
     upstream: sync::Arc<Upstream<C>>,
     class: admission::ShareClass,
     acquired: time::Instant,
+    /// Slots in use when this one was acquired, including it.
+    in_use: u32,
     forwarded: atomic::AtomicBool,
     kind: RequestKind,
     /// Number among the running requests of the upstream.
@@ -143,6 +148,7 @@
             retries: Default::default(),
             retryable: Default::default(),
             pending: Default::default(),
+            rejection_cause: Default::default(),
             running: Default::default(),
             liveness: Default::default(),
             crashed: Default::default(),
@@ -286,6 +292,32 @@
         }
     }
 
+    /// Records a response to the request that holds `slot`, and whether it states that the backend
+    /// server did not run the request. Logs a change of the reason why it rejects requests.
+    pub fn record_rejection(&self, slot: &Slot<C>, is_rejected: bool) {
+        let now = self.clock.now();
+        let mut admission = lock(&self.admission);
+        admission.record_response(is_rejected, slot.in_use, slot.acquired, now);
+        let (cause, rate) = (admission.rejection_cause(now), admission.rejection_rate());
+        let slots = admission.load(now).slots;
+        drop(admission);
+        if std::mem::replace(&mut *lock(&self.rejection_cause), cause) != cause {
+            log::info!(
+                event = "upstream-rejects",
+                upstream:% = self.id,
+                cause = cause.as_str(),
+                rate,
+                slots;
+                "reason for rejections of upstream changed"
+            );
+        }
+    }
+
+    /// Returns the fraction of recent requests that the backend server rejected.
+    pub fn rejection_rate(&self) -> f64 {
+        lock(&self.admission).rejection_rate()
+    }
+
     /// Records that a request is forwarded, and returns the number that identifies it.
     pub fn start_request(&self) -> u64 {
         let mut pending = lock(&self.pending);
@@ -551,6 +583,7 @@
             upstream: self.clone(),
             class,
             acquired,
+            in_use: lock(&self.admission).load(acquired).in_use,
             forwarded: Default::default(),
             kind: RequestKind::NotRetryable,
             running: None,
@@ -596,6 +629,11 @@
     pub fn mark_forwarded(&self) {
         self.forwarded.store(true, atomic::Ordering::Release);
     }
+
+    /// Records that the backend server did not run the request, whose time is then no service time.
+    pub fn mark_not_run(&self) {
+        self.forwarded.store(false, atomic::Ordering::Release);
+    }
 }
 
 impl<C: clock::Clock> Drop for Slot<C> {
