Add the plan of requests that leave a failure domain, and let loads count longer

Cause: an ingress found room in other domains only by chance, and forgot the load of an upstream within half a second, although it hears of each upstream every few seconds.

Change: spillover::Plan assigns the demand of all domains by expected time, from reported demand, slots and service times; the router draws from it. Four upstreams of the own domain and three others are compared instead of two and two, with the own speed of each instead of the median, and the load reported by others halves in six service times, 0.5 to 4 s. Nothing feeds the plan in a daemon yet.

--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -19,6 +19,7 @@
 use crate::load;
 use crate::outlier;
 use crate::request_limit;
+use crate::spillover;
 use crate::statistics;
 
 pub use availability::Availability;
@@ -85,6 +86,24 @@
     pub now: time::Instant,
 }
 
+impl Criteria<'_> {
+    /// Returns the size of the request and its expected response in bytes.
+    fn bytes(&self) -> u64 {
+        self.body_size.saturating_add(self.response_size)
+    }
+
+    /// Returns what the transfer of the request and its response to another failure domain may cost
+    /// in latency, in seconds.
+    pub fn transfer_seconds(&self) -> f64 {
+        self.bytes() as f64 * self.transfer_cost
+    }
+
+    /// Returns the class of the request in the plan of its service.
+    pub fn class(&self) -> spillover::Class {
+        spillover::Class::of(self.bytes(), self.objective)
+    }
+}
+
 /// Result of an attempt at an upstream, for upstream selection.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum AttemptResult {
@@ -127,6 +146,8 @@
     upstreams: IndexMap<net::SocketAddr, Upstream>,
     /// Number of round-robin selections so far.
     cursor: usize,
+    /// Requests that leave the failure domain; empty without load reports.
+    plan: spillover::Plan,
 }
 
 #[derive(Debug)]
@@ -167,15 +188,23 @@
 /// got their part.
 const OWN_DOMAIN_MAX: usize = 20;
 const LATENCY_HALF_LIFE: time::Duration = time::Duration::from_secs(5);
-/// Half-life of the load that other ingresses cause, as reported by the sidecar.
-const LOAD_HALF_LIFE: time::Duration = time::Duration::from_millis(500);
+/// Shortest and longest half-life of the load that other ingresses cause, as reported by the sidecar.
+const LOAD_HALF_LIFE_MIN: time::Duration = time::Duration::from_millis(500);
+const LOAD_HALF_LIFE_MAX: time::Duration = time::Duration::from_secs(4);
+/// The half-life between these as a multiple of the median latency, since a queue lasts as many service
+/// times as it is long. Half a second at a median of 300 ms made most full upstreams look free: an
+/// ingress with 7 requests/s over 27 upstreams hears of each every 4 s.
+const LOAD_HALF_LIFE_FACTOR: f64 = 6.0;
 /// Multiple of the service's median latency above which an upstream is excluded, as long as the
 /// others have enough slots for the floor.
 const SLOW_FACTOR: f64 = 3.0;
 /// Half-life of an upstream's latency in excess of the median, so that a slow upstream is tried
 /// again.
 const SLOW_HALF_LIFE: time::Duration = time::Duration::from_secs(10);
-/// Multiple of the service's median latency below which a higher latency counts as noise.
+/// Number of samples at the median latency assumed in addition to the recorded ones, as the latency of
+/// a few requests says more about these than about the upstream.
+const LATENCY_PRIOR_SAMPLES: f64 = 8.0;
+/// Multiple of the service's median latency above which an upstream counts as clearly slower.
 const LATENCY_NOISE_FACTOR: f64 = 1.5;
 /// Maximum of an upstream's excess latency, as a multiple of the service's median latency.
 const LATENCY_FACTOR_MAX: f64 = 20.0;
@@ -366,6 +395,16 @@
         }
     }
 
+    /// Changes the plan of a service, which states the requests that leave the failure domain.
+    /// Returns what `change` returns; `None` if the service has no candidates.
+    pub fn change_plan<R>(
+        &mut self,
+        service: &str,
+        change: impl FnOnce(&mut spillover::Plan) -> R,
+    ) -> Option<R> {
+        self.pools.get_mut(service).map(|pool| change(&mut pool.plan))
+    }
+
     /// Returns whether a service has candidates.
     pub fn has_candidates(&self, service: &str) -> bool {
         self.pools.get(service).is_some_and(|pool| !pool.upstreams.is_empty())
@@ -468,7 +507,7 @@
     /// including the wait for a slot, plus [`BUSY_COST_FRACTION`].
     fn cost(&self, median: f64, now: time::Instant) -> f64 {
         let slots = f64::from(self.open_slots());
-        let load = self.expected_load(now);
+        let load = self.expected_load(median, now);
         let wait = (load + 1.0 - slots).max(0.0) / slots;
         self.effective_latency(median, now) * (1.0 + wait)
             + median * BUSY_COST_FRACTION * load / slots
@@ -490,11 +529,13 @@
 
     /// Returns the outstanding requests of this ingress plus those of other ingresses, which decay
     /// with the age of the report.
-    fn expected_load(&self, now: time::Instant) -> f64 {
+    fn expected_load(&self, median: f64, now: time::Instant) -> f64 {
+        let half_life = time::Duration::from_secs_f64(median * LOAD_HALF_LIFE_FACTOR)
+            .clamp(LOAD_HALF_LIFE_MIN, LOAD_HALF_LIFE_MAX);
         let others = self.last_load.map_or(0.0, |sample| {
             let total = sample.load.in_use + sample.load.queued;
             let age = now.saturating_duration_since(sample.at);
-            f64::from(total.saturating_sub(sample.own_outstanding)) * decay(age, LOAD_HALF_LIFE)
+            f64::from(total.saturating_sub(sample.own_outstanding)) * decay(age, half_life)
         });
         others + f64::from(self.outstanding)
     }
@@ -510,12 +551,14 @@
         self.expected_latency(median, now) * factor
     }
 
-    /// Returns the expected latency in seconds: the median unless the upstream is clearly slower,
-    /// and then the median plus its excess, which decays with the age of the latest sample.
+    /// Returns the expected latency in seconds: that of the upstream, moved towards the median while
+    /// there are few samples, unless it is clearly slower; then the median plus its excess, which
+    /// decays with the age of the latest sample.
     fn expected_latency(&self, median: f64, now: time::Instant) -> f64 {
         let Some(latency) = self.latency.value() else { return median };
         if latency < median * LATENCY_NOISE_FACTOR {
-            return median;
+            let weight = self.latency.weight(now);
+            return median + (latency - median) * weight / (weight + LATENCY_PRIOR_SAMPLES);
         }
         let age = self
             .latency_sampled
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -1,7 +1,6 @@
 //! Selection among the upstreams of one service by availability, reported failure probability and
 //! expected cost.
 
-use std::cmp;
 use std::time;
 
 use rand::Rng;
@@ -12,6 +11,14 @@
 const CROSS_DOMAIN_COST_FRACTION: f64 = 0.3;
 /// Cost of another failure domain in seconds, in addition to the fraction of the median.
 const CROSS_DOMAIN_COST_S: f64 = 0.001;
+/// Factor by which the cost in the domain that the plan gives a request must exceed that in its own for
+/// the request to stay. An ingress knows the load of few upstreams at a time, and without a report an
+/// upstream that is full looks free.
+const LEAVING_COST_FACTOR: f64 = 1.0;
+/// Number of upstreams in the own failure domain that are compared.
+const OWN_CHOICES: usize = 4;
+/// Number of upstreams in other failure domains that are compared.
+const OTHER_CHOICES: usize = 3;
 /// Probability that a first attempt that may probe suspected upstreams does so, to detect a
 /// recovery.
 const PROBE_PROBABILITY: f64 = 0.2;
@@ -117,8 +124,10 @@
         rotated.copied().min_by_key(|&index| self.upstreams[index].outstanding)
     }
 
-    /// Returns the upstream with the lowest cost among two random ones in failure domain `domain`
-    /// and two in other domains, whose cost includes that of the transfer.
+    /// Returns the upstream with the lowest cost among some random ones in failure domain `domain`
+    /// and some in other domains. The latter cost more by the latency and the bytes of the transfer,
+    /// except for the requests that are to leave the domain according to the service's plan; those
+    /// are compared with upstreams of the domain that the plan gives them.
     pub(super) fn lowest_cost(
         &self,
         usable: &[usize],
@@ -126,27 +135,32 @@
         criteria: &router::Criteria<'_>,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let (same_domain, other_domains): (Vec<usize>, Vec<usize>) =
+        let (mut same_domain, mut others): (Vec<usize>, Vec<usize>) =
             usable.iter().partition(|&&i| &*self.upstreams[i].candidate.domain == domain);
+        let target = self.plan.draw(criteria.class(), rng);
+        let is_target = |&index: &usize| Some(&self.upstreams[index].candidate.domain) == target;
+        let is_leaving = others.iter().any(is_target);
+        if is_leaving {
+            others.retain(is_target);
+        }
         let median = self.median_latency(criteria.now);
-        let own = self.cheapest(sample_two(&same_domain, rng), median, criteria.now);
-        let other = self.cheapest(sample_two(&other_domains, rng), median, criteria.now);
+        let own = self.cheapest(sample(&mut same_domain, OWN_CHOICES, rng), median, criteria.now);
+        let other = self.cheapest(sample(&mut others, OTHER_CHOICES, rng), median, criteria.now);
         let (Some((own_cost, own_index)), Some((other_cost, other_index))) = (own, other) else {
             return own.or(other).map(|(_, index)| index);
         };
+        if is_leaving {
+            let stays = other_cost > own_cost * LEAVING_COST_FACTOR;
+            return Some(if stays { own_index } else { other_index });
+        }
         let other_cost = other_cost + CROSS_DOMAIN_COST_FRACTION * median + CROSS_DOMAIN_COST_S;
         let surcharge = transfer_surcharge(criteria, own_cost, other_cost);
         Some(if other_cost + surcharge < own_cost { other_index } else { own_index })
     }
 
     /// Returns the lowest cost of the upstreams and the index of the one that has it.
-    fn cheapest(
-        &self,
-        indexes: impl Iterator<Item = usize>,
-        median: f64,
-        now: time::Instant,
-    ) -> Option<(f64, usize)> {
-        let costs = indexes.map(|index| (self.upstreams[index].cost(median, now), index));
+    fn cheapest(&self, indexes: &[usize], median: f64, now: time::Instant) -> Option<(f64, usize)> {
+        let costs = indexes.iter().map(|&index| (self.upstreams[index].cost(median, now), index));
         costs.min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
@@ -176,17 +190,14 @@
     if own_cost > objective && other_cost <= objective {
         return 0.0;
     }
-    let bytes = criteria.body_size.saturating_add(criteria.response_size);
-    bytes as f64 * criteria.transfer_cost
+    criteria.transfer_seconds()
 }
 
-fn sample_two(group: &[usize], rng: &mut impl Rng) -> impl Iterator<Item = usize> {
-    let length = group.len();
-    let first = (length > 0).then(|| rng.random_range(0..length.max(1)));
-    let second = first.filter(|_| length > 1).map(|first| {
-        let other = rng.random_range(0..length - 1);
-        if other < first { other } else { cmp::min(other + 1, length - 1) }
-    });
-    let picked = [first, second].map(|index| index.map(|i| group[i]));
-    picked.into_iter().flatten()
+/// Moves up to `count` random entries of the group to its front and returns them.
+fn sample<'a>(group: &'a mut [usize], count: usize, rng: &mut impl Rng) -> &'a [usize] {
+    let count = count.min(group.len());
+    for position in 0..count {
+        group.swap(position, rng.random_range(position..group.len()));
+    }
+    &group[..count]
 }
