--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pipeline;
 pub mod pool;
 pub mod quota_signals;
+pub mod read_ahead_body;
 pub mod replay;
 pub mod result_recorder;
 pub mod server;
