Withdraw keys in the soak and check that no request runs under them

Cause: the soak had no organisations, so that it could not detect a withdrawn key that is accepted again after a restart or an outage. Change: each policy edit of the soak replaces the key of an organisation; callers use the last four keys at every ingress; after the faults, all earlier keys must be refused 2.5 s after an edit. lynxmast-soak depends on lynxmast-state for the hash of a key.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,11 +3,13 @@
 use std::collections;
 use std::net;
 use std::path;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
 use indexmap::IndexMap;
 use lynxmast_protocol::log as api;
+use lynxmast_state::policy::organisation;
 use lynxmast_testing::backend;
 use lynxmast_testing::crashing_backend;
 use lynxmast_testing::fake_log;
@@ -15,6 +17,7 @@
 use lynxmast_testing::fleet as testing_fleet;
 
 use crate::Plan;
+use crate::invariants;
 use crate::load;
 use crate::process;
 use crate::schedule;
@@ -27,7 +30,8 @@
     crashed: Vec<backend::Backend>,
     /// Behaviour of a backend server without faults.
     healthy: backend::Behaviour,
-    edits: u64,
+    /// Number of the newest edit; each edit replaces the key of the previous one.
+    edits: sync::Arc<atomic::AtomicU64>,
     /// Violations found while faults were injected.
     violations: Vec<String>,
 }
@@ -51,6 +55,8 @@
 pub const NON_IDEMPOTENT_PATH: &str = "/buy";
 /// Path of the idempotent route whose requests crash the backend server that runs them.
 pub const CRASHING_PATH: &str = "/crash";
+/// Path of the route whose requests need a key.
+pub const KEYED_PATH: &str = "/keyed";
 /// Deadline of all routes.
 pub const DEADLINE: time::Duration = time::Duration::from_secs(2);
 
@@ -71,11 +77,18 @@
 /// Requests above one and a half times the limit that are tolerated, including those of a sidecar
 /// that restarts.
 const LIMIT_EXCESS_MAX: f64 = 10.0;
+/// Time after its publication within which every connected daemon must refuse a withdrawn key.
+const WITHDRAWAL_TIME: time::Duration = time::Duration::from_millis(2500);
 const PROXY_DELAY: time::Duration = time::Duration::from_millis(80);
 static FLEETS_STARTED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
-/// Returns the policy section of an edit. Edits differ only in the queue limit, which the soak's
-/// load does not reach.
+/// Returns the key that is valid from an edit on until the next one.
+pub fn key(edit: u64) -> String {
+    format!("soak-key-{edit}")
+}
+
+/// Returns the policy section of an edit. Edits differ in the key of the organisation and in the
+/// queue limit, which the soak's load does not reach.
 fn section(edit: u64) -> String {
     format!(
         "team = 'soak'\n[[service]]\nname = '{SERVICE}'\nramp = '0s'\nqueue = {}\n\
@@ -83,8 +96,11 @@
          deadline = '2s'\n\
          [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{IDEMPOTENT_PATH}'\nidempotent = true\n\
          deadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\ndeadline = '2s'\n",
-        100 + edit % 100
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\ndeadline = '2s'\n\
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{KEYED_PATH}'\npublic = false\ndeadline = '2s'\n\
+         [[organisation]]\nname = 'soak'\nkey-hash = '{}'\n",
+        100 + edit % 100,
+        organisation::hash_key(&key(edit))
     )
 }
 
@@ -113,7 +129,7 @@
         }
         let (crashed, violations) = (Vec::new(), Vec::new());
         let healthy = healthy_behaviour(plan.seed);
-        let fleet = Self { log, nodes, crashed, healthy, edits: 0, violations };
+        let fleet = Self { log, nodes, crashed, healthy, edits: Default::default(), violations };
         for node in &fleet.nodes {
             node.backend.keep_announcing(node.process.ports.local);
         }
@@ -298,9 +314,46 @@
     }
 
     async fn publish_edit(&mut self) {
-        self.edits += 1;
         let base = self.log.end(api::POLICY_STREAM);
-        testing_fleet::try_publish(&self.log, &section(self.edits), base).await;
+        self.publish_edit_on(base).await;
+    }
+
+    /// Publishes the next edit, based on version `base`, and returns its number.
+    async fn publish_edit_on(&self, base: u64) -> u64 {
+        let edit = self.edits.fetch_add(1, atomic::Ordering::AcqRel) + 1;
+        testing_fleet::try_publish(&self.log, &section(edit), base).await;
+        edit
+    }
+
+    /// Returns the number of the newest edit, which increases while edits are published.
+    pub fn edits(&self) -> sync::Arc<atomic::AtomicU64> {
+        self.edits.clone()
+    }
+
+    /// Replaces the key of the organisation without any fault. Returns a violation for each ingress
+    /// that accepts an earlier key or rejects the new one after [`WITHDRAWAL_TIME`].
+    pub async fn probe_withdrawal(&self) -> Vec<String> {
+        // The newest record of the log may be a duplicate, so that its end is not always a version.
+        let base = invariants::newest_version(&self.admin_addresses()).await;
+        let edit = self.publish_edit_on(base).await;
+        tokio::time::sleep(WITHDRAWAL_TIME).await;
+        let mut violations = Vec::new();
+        for (index, ingress) in self.ingress_addresses().into_iter().enumerate() {
+            for withdrawn in 0..edit {
+                let status = load::send_keyed_request(ingress, withdrawn).await.status;
+                if status != 401 {
+                    violations.push(format!(
+                        "ingress {index}: status {status} under the withdrawn key of edit \
+                         {withdrawn} of {edit}"
+                    ));
+                }
+            }
+            let status = load::send_keyed_request(ingress, edit).await.status;
+            if status == 401 {
+                violations.push(format!("ingress {index}: the key of edit {edit} is rejected"));
+            }
+        }
+        violations
     }
 
     /// Ends the faults of the log service, the proxies and the daemon processes.
@@ -324,7 +377,7 @@
         let mut all = IndexMap::new();
         let backends = self.nodes.iter().map(|node| &node.backend).chain(&self.crashed);
         for backend in backends {
-            for path in [IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH] {
+            for path in [IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, KEYED_PATH] {
                 for (tag, runs) in backend.runs_by_tag(path) {
                     *all.entry(tag).or_default() += runs;
                 }
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -55,6 +55,37 @@
     violations
 }
 
+/// Returns a message for each request that ran under a key although its ingress had already accepted
+/// a later one, which replaced it. `runs` holds the number of runs of each request, by tag.
+pub fn check_keys(
+    observations: &[load::KeyedObservation],
+    runs: &IndexMap<String, u32>,
+) -> Vec<String> {
+    let has_run = |o: &&load::KeyedObservation| runs.get(&o.response.tag).is_some_and(|n| *n > 0);
+    let mut run: Vec<_> = observations.iter().filter(has_run).collect();
+    run.sort_by_key(|observation| observation.ended);
+    let mut violations = Vec::new();
+    for observation in &run {
+        let before = run.iter().take_while(|earlier| earlier.ended < observation.started);
+        let newest =
+            before.filter(|o| o.ingress == observation.ingress).map(|o| o.edit).max().unwrap_or(0);
+        if observation.edit < newest {
+            violations.push(format!(
+                "a request ran under the key of edit {}, which edit {newest} had withdrawn at its \
+                 ingress: {:?}",
+                observation.edit, observation.response
+            ));
+        }
+    }
+    violations
+}
+
+/// Returns the newest policy version of the daemons at `admin_addresses`; 0 if none responds.
+pub async fn newest_version(admin_addresses: &[net::SocketAddr]) -> u64 {
+    let statuses = futures::future::join_all(admin_addresses.iter().map(|a| status(*a))).await;
+    statuses.into_iter().flatten().map(|status| status.policy).max().unwrap_or(0)
+}
+
 /// Returns a violation for each ingress whose success rate after the faults is too low; `rates`
 /// holds the success rates by index of the ingress.
 pub fn check_recovery(rates: &[f64]) -> Vec<String> {
--- a/crates/soak/src/invariants/tests.rs
+++ b/crates/soak/src/invariants/tests.rs
@@ -47,3 +47,31 @@
 fn an_ingress_that_does_not_recover_is_detected() {
     assert_eq!(check_recovery(&[1.0, 0.95, 0.5]).len(), 1);
 }
+
+fn keyed(
+    begin: time::Instant,
+    port: u16,
+    edit: u64,
+    (started_ms, ended_ms): (u64, u64),
+) -> load::KeyedObservation {
+    let mut response = observation(true, "answered", 200, true, 1).response;
+    response.tag = format!("tag-{port}-{edit}-{started_ms}");
+    let at = |ms| begin + time::Duration::from_millis(ms);
+    let ingress = net::SocketAddr::from(([127, 0, 0, 1], port));
+    load::KeyedObservation { ingress, edit, started: at(started_ms), ended: at(ended_ms), response }
+}
+
+// Guards against a check that misses a withdrawn key, or that reports daemons which are still behind.
+#[test_case(&[(1, 1, (0, 10)), (1, 2, (20, 30)), (1, 2, (40, 50))], 0; "key replaced once")]
+#[test_case(&[(1, 1, (0, 10)), (1, 2, (20, 30)), (1, 1, (40, 50))], 1; "withdrawn key accepted again")]
+#[test_case(&[(1, 2, (20, 30)), (1, 1, (25, 50))], 0; "requests at the same time")]
+#[test_case(&[(1, 2, (20, 30)), (2, 1, (40, 50))], 0; "other ingress behind")]
+fn requests_under_withdrawn_keys_are_detected(sent: &[(u16, u64, (u64, u64))], expected: usize) {
+    let begin = time::Instant::now();
+    let observations: Vec<_> =
+        sent.iter().map(|(port, edit, times)| keyed(begin, *port, *edit, *times)).collect();
+    let tags = observations.iter().map(|observation| observation.response.tag.clone());
+    let runs: IndexMap<_, _> = tags.map(|tag| (tag, 1)).collect();
+    assert_eq!(check_keys(&observations, &runs).len(), expected);
+    assert_eq!(check_keys(&observations, &IndexMap::new()).len(), 0, "none has run");
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -45,6 +45,7 @@
     let mut fleet = fleet::Fleet::start(plan).await?;
     let faults = schedule::generate(plan.seed, plan.duration, plan.processes);
     let callers = load::Callers::start(&fleet.ingress_addresses());
+    let keyed_callers = load::KeyedCallers::start(&fleet.ingress_addresses(), &fleet.edits());
     let version_monitor = invariants::VersionMonitor::start(fleet.admin_addresses());
     let crashing = tokio::spawn(load::send_crashing_requests(fleet.ingress_addresses()));
     fleet.inject(&faults).await;
@@ -52,9 +53,13 @@
     fleet.clear_faults().await;
     let mut violations = await_recovery(&fleet.ingress_addresses()).await;
     violations.extend(fleet.probe_quarantine().await);
+    let keyed_observations = keyed_callers.stop().await;
+    violations.extend(fleet.probe_withdrawal().await);
     violations.extend(version_monitor.stop().await);
     let observations = callers.stop().await;
-    violations.extend(invariants::check_requests(&observations, &fleet.runs_by_tag()));
+    let runs = fleet.runs_by_tag();
+    violations.extend(invariants::check_requests(&observations, &runs));
+    violations.extend(invariants::check_keys(&keyed_observations, &runs));
     violations.extend(fleet.shut_down().await);
     Ok(violations)
 }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use lynxmast_testing::caller;
+use rand::Rng;
 use rand::seq::IndexedRandom;
 use tokio::task;
 
@@ -26,6 +27,30 @@
     pub response: caller::Response,
 }
 
+/// Response to a request under a key.
+#[derive(Debug, Clone)]
+pub struct KeyedObservation {
+    /// Ingress that the request was sent to.
+    pub ingress: net::SocketAddr,
+    /// Edit that has introduced the key; the next one withdraws it.
+    pub edit: u64,
+    /// Time at which the request was sent.
+    pub started: time::Instant,
+    /// Time at which the response ended.
+    pub ended: time::Instant,
+    /// Response as seen by the caller.
+    pub response: caller::Response,
+}
+
+/// Running callers that send requests under new and withdrawn keys.
+#[derive(Debug)]
+pub struct KeyedCallers {
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+    tasks: task::JoinSet<Vec<KeyedObservation>>,
+}
+
+/// Number of earlier keys that callers use beside the newest one.
+const EARLIER_KEYS: u64 = 3;
 /// Number of callers for each ingress.
 const CALLERS_PER_INGRESS: usize = 3;
 /// Pause of a caller after each request.
@@ -55,6 +80,56 @@
     }
 }
 
+impl KeyedCallers {
+    /// Starts one caller for each ingress; `edits` is the number of the newest edit.
+    pub fn start(
+        ingresses: &[net::SocketAddr],
+        edits: &sync::Arc<sync::atomic::AtomicU64>,
+    ) -> Self {
+        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+        let mut tasks = task::JoinSet::new();
+        for ingress in ingresses {
+            tasks.spawn(run_keyed_caller(*ingress, edits.clone(), stop.clone()));
+        }
+        Self { stop, tasks }
+    }
+
+    /// Stops the callers and returns all responses.
+    pub async fn stop(self) -> Vec<KeyedObservation> {
+        self.stop.store(true, sync::atomic::Ordering::Release);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+async fn run_keyed_caller(
+    ingress: net::SocketAddr,
+    edits: sync::Arc<sync::atomic::AtomicU64>,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) -> Vec<KeyedObservation> {
+    let caller = caller::Caller::new(ingress);
+    let mut observations = Vec::new();
+    while !stop.load(sync::atomic::Ordering::Acquire) {
+        let newest = edits.load(sync::atomic::Ordering::Acquire);
+        let edit = rand::rng().random_range(newest.saturating_sub(EARLIER_KEYS)..=newest);
+        let started = time::Instant::now();
+        let response = caller.send(&keyed_request(edit)).await;
+        let ended = time::Instant::now();
+        observations.push(KeyedObservation { ingress, edit, started, ended, response });
+        tokio::time::sleep(REQUEST_PAUSE).await;
+    }
+    observations
+}
+
+fn keyed_request(edit: u64) -> caller::Request {
+    let (host, path, key) = (fleet::HOST, fleet::KEYED_PATH, Some(fleet::key(edit)));
+    caller::Request { method: "POST", host, path, key, ..caller::Request::default() }
+}
+
+/// Sends one request under the key of an edit, on a new connection.
+pub async fn send_keyed_request(ingress: net::SocketAddr, edit: u64) -> caller::Response {
+    caller::Caller::new(ingress).send(&keyed_request(edit)).await
+}
+
 async fn run_caller(
     ingress: net::SocketAddr,
     first_index: usize,
