Reject requests before they run while the calls that they make are rejected

The sidecar learns which services the requests of a route call, and from the ends of these calls which share of them lacks capacity. It does not start four fifths of that share of the requests, the lowest rank first, and reports them as not run, with the reason calls-rejected, which no other sidecar is asked after. A daemon of an older release reads that reason as a malformed response.

Not measured with real backend servers.

--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -122,6 +122,11 @@
         ("not-run", "doubtful") => {
             "every remaining upstream was suspected, and the request is not idempotent".to_owned()
         }
+        ("not-run", "calls-rejected") => {
+            "the calls that requests of its route make were being rejected: the called service is \
+             overloaded"
+                .to_owned()
+        }
         ("not-run", "limited") => {
             "the upstreams get as many requests per second as the limits allow that they name"
                 .to_owned()
--- a/crates/lynxmast/src/request_trace/tests.rs
+++ b/crates/lynxmast/src/request_trace/tests.rs
@@ -50,6 +50,7 @@
 
 #[test_case("not-run", "wait-too-long", "overloaded"; "rejected under overload")]
 #[test_case("not-run", "shed", "rejected"; "shed")]
+#[test_case("not-run", "calls-rejected", "called service"; "parent that was not started")]
 #[test_case("not-run", "doubtful", "suspected"; "only suspected upstreams")]
 #[test_case("may-have-run", "connection-lost", "connection was lost"; "unknown outcome")]
 #[test_case("may-have-run", "stalled", "may-have-run stalled"; "reason without a description")]
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod outlier;
+pub mod parent_admission;
 pub mod policy;
 pub mod precedence;
 pub mod priority;
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -59,6 +59,8 @@
         Limited,
         /// The request would be a retry, and the retry budget of the upstream is used up.
         OverBudget,
+        /// The calls that requests of the route usually make are rejected for lack of capacity.
+        CallsRejected,
     }
 
     /// Reason why a request that may have been run has no complete response.
@@ -139,7 +141,7 @@
 
 impl Rejection {
     /// All variants, for decoding and tests.
-    pub const ALL: [Rejection; 21] = [
+    pub const ALL: [Rejection; 22] = [
         Rejection::BadRequest,
         Rejection::UnknownKey,
         Rejection::Forbidden,
@@ -161,6 +163,7 @@
         Rejection::Quarantined,
         Rejection::Limited,
         Rejection::OverBudget,
+        Rejection::CallsRejected,
     ];
 
     /// Returns the value of the reason header.
@@ -187,6 +190,7 @@
             Rejection::Quarantined => "quarantined",
             Rejection::Limited => "limited",
             Rejection::OverBudget => "over-budget",
+            Rejection::CallsRejected => "calls-rejected",
         }
     }
 
@@ -198,8 +202,15 @@
     /// Returns whether the request was rejected for lack of capacity; a suspected upstream counts
     /// as lacking it.
     pub fn is_overload(&self) -> bool {
-        use Rejection::{Limited, OverBudget, QueueFull, Suspected, WaitTooLong};
-        matches!(self, QueueFull | WaitTooLong | Suspected | Limited | OverBudget)
+        use Rejection::{CallsRejected, Limited, OverBudget, QueueFull, Suspected, WaitTooLong};
+        matches!(self, QueueFull | WaitTooLong | Suspected | Limited | OverBudget | CallsRejected)
+    }
+
+    /// Returns whether the rejection shows that a service has fewer slots than it needs. An upstream
+    /// that rejects a request itself may do so at random, and a denied retry may follow a failure.
+    pub fn shows_missing_capacity(self) -> bool {
+        use Rejection::{CallsRejected, Limited, QueueFull, WaitTooLong};
+        matches!(self, QueueFull | WaitTooLong | Limited | CallsRejected)
     }
 
     /// Returns whether a backend server was contacted, although it did not run the request.
--- a/crates/state/src/running.rs
+++ b/crates/state/src/running.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use crate::ids;
+use crate::parent_admission;
 
 /// What is known about a running request.
 #[derive(Debug, Clone, PartialEq)]
@@ -18,6 +19,8 @@
     pub rank: u32,
     /// Time by which the response should arrive.
     pub objective: Option<time::Instant>,
+    /// Route of the request; `None` if the sidecar's policy has none for it.
+    pub route: Option<parent_admission::RouteKey>,
 }
 
 /// Identifies a running request.
@@ -33,7 +36,7 @@
 ///
 /// let deadline = Instant::now() + Duration::from_secs(4);
 /// let parent =
-///     running::Running { deadline, organisation: "mailers".into(), rank: 1, objective: None };
+///     running::Running { deadline, organisation: "mailers".into(), rank: 1, objective: None, route: None };
 /// let mut requests = running::RunningRequests::default();
 /// let number = requests.start(parent.clone());
 /// assert_eq!(requests.find_parent(deadline + Duration::from_millis(3)), Some(&parent));
--- a/crates/state/src/running/tests.rs
+++ b/crates/state/src/running/tests.rs
@@ -5,7 +5,7 @@
 use super::*;
 
 fn running(name: &str, deadline: time::Instant) -> Running {
-    Running { deadline, organisation: name.into(), rank: 0, objective: None }
+    Running { deadline, organisation: name.into(), rank: 0, objective: None, route: None }
 }
 
 /// Guards against calls that are missed for rounding or transfer times, and against taking every
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -26,7 +26,6 @@
 use lynxmast_state::progress;
 use lynxmast_state::retry;
 use lynxmast_state::router;
-use lynxmast_state::running;
 use lynxmast_state::sampling;
 use lynxmast_state::shared_state;
 use rand::Rng;
@@ -82,7 +81,7 @@
     arrived: time::Instant,
     deadline: time::Instant,
     /// Running request of which this one is probably a call.
-    parent: Option<running::Running>,
+    parent: Option<call::Parent>,
 }
 
 impl RequestContext {
@@ -192,6 +191,7 @@
         let result = self.serve(&context, &mut progress).await;
         self.log_request(&context, &progress, &result);
         self.record_duration(&context, &result);
+        self.record_call_end(&context, &result);
         match result {
             Ok(mut response) => {
                 let outcome = outcome::Outcome::Answered;
--- a/crates/transport/src/ingress/call.rs
+++ b/crates/transport/src/ingress/call.rs
@@ -4,12 +4,21 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::ids;
+use lynxmast_state::parent_admission;
 use lynxmast_state::policy::compiled;
+use lynxmast_state::retry;
 use lynxmast_state::running;
 
 use crate::ingress;
 use crate::ingress::head;
 
+/// Parent of a call.
+#[derive(Debug)]
+pub struct Parent {
+    running: running::Running,
+    held_back: parent_admission::HeldBack,
+}
+
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Returns the running request of which a request is probably a call: it has no key and expires
     /// together with that one. The timeout counts as the sender stated it, since a route may have a
@@ -19,13 +28,29 @@
         parsed: &head::RequestHead,
         route_match: &compiled::RouteMatch,
         arrived: time::Instant,
-    ) -> Option<running::Running> {
+    ) -> Option<Parent> {
         let timeout = parsed.timeout.filter(|_| parsed.key.is_none())?;
         let deadline = arrived.checked_add(timeout)?;
         let service = &route_match.service.name;
-        let parent = self.sidecar.find_parent(service, deadline)?;
+        let running = self.sidecar.find_parent(service, deadline)?;
         metrics::counter!("lynxmast_calls_total", "service" => service.to_string()).increment(1);
-        Some(parent)
+        let held_back = self.sidecar.record_call(&running, service);
+        Some(Parent { running, held_back })
+    }
+
+    /// Records the end of a request that is a call, and whether capacity was missing for it.
+    pub(super) fn record_call_end<B>(
+        &self,
+        context: &ingress::RequestContext,
+        result: &Result<http::Response<B>, retry::AttemptEnd>,
+    ) {
+        let Some(parent) = &context.parent else { return };
+        let is_rejected = matches!(
+            result,
+            Err(retry::AttemptEnd::NotRun(rejection)) if rejection.shows_missing_capacity()
+        );
+        let service = &context.route_match.service.name;
+        self.sidecar.record_call_end(service, parent.held_back, is_rejected);
     }
 }
 
@@ -39,19 +64,21 @@
     /// parent.
     pub(super) fn charged_organisation(&self) -> &ids::OrganisationName {
         let own = &self.route_match.organisation;
-        self.parent.as_ref().map_or(own, |parent| &parent.organisation)
+        self.parent.as_ref().map_or(own, |parent| &parent.running.organisation)
     }
 
     /// Returns the rank of the request: for a call, that of its parent.
     pub(super) fn rank(&self) -> u32 {
-        self.parent.as_ref().map_or(self.route_match.rank, |parent| parent.rank)
+        self.parent.as_ref().map_or(self.route_match.rank, |parent| parent.running.rank)
     }
 
     /// Returns the time left until the objective: for a call, that of its parent. Zero once it is
     /// missed, `None` without an objective.
     pub(super) fn objective_left(&self, now: time::Instant) -> Option<time::Duration> {
         match &self.parent {
-            Some(parent) => parent.objective.map(|until| until.saturating_duration_since(now)),
+            Some(parent) => {
+                parent.running.objective.map(|until| until.saturating_duration_since(now))
+            }
             None => self.objective_remaining(now),
         }
     }
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -23,6 +23,7 @@
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
+use lynxmast_state::parent_admission;
 use lynxmast_state::policy::service;
 use lynxmast_state::priority;
 use lynxmast_state::retry;
@@ -55,6 +56,10 @@
     /// server to a dependency, made while serving a request; the backend server then responds with
     /// an error, which is no evidence that it is failing itself.
     last_call_failure: sync::Mutex<Option<time::Instant>>,
+    /// Calls of the local backend servers, and which requests are not started as theirs would fail.
+    parents: sync::Mutex<parent_admission::ParentAdmission>,
+    /// When a request was last not started for its calls.
+    last_held_back: sync::Mutex<Option<time::Instant>>,
     shutdown_announced: atomic::AtomicBool,
     /// Whether new requests are rejected.
     closing: atomic::AtomicBool,
@@ -122,6 +127,8 @@
             heartbeat_interval: options.heartbeat_interval,
             departed: Default::default(),
             last_call_failure: Default::default(),
+            parents: Default::default(),
+            last_held_back: Default::default(),
             shutdown_announced: Default::default(),
             closing: Default::default(),
             exchange_counter: atomic::AtomicU64::new(1),
@@ -179,7 +186,8 @@
     ) -> Result<http::Response<exchange::SidecarBody<C>>, retry::AttemptEnd> {
         let now = self.shared.now();
         let deadline = now + envelope.time_left;
-        let (slot, stall) = self.admit(envelope, upstream, now, deadline).await?;
+        let route = self.route_key(&request);
+        let (slot, stall) = self.admit(envelope, upstream, route, now, deadline).await?;
         let connection = upstream.pool.acquire().await.map_err(retry::AttemptEnd::NotRun)?;
         let started = self.shared.now();
         let time_left = deadline.saturating_duration_since(started);
@@ -315,6 +323,7 @@
         &self,
         envelope: &envelope::Envelope,
         upstream: &sync::Arc<upstream::Upstream<C>>,
+        route: Option<parent_admission::RouteKey>,
         now: time::Instant,
         deadline: time::Instant,
     ) -> Result<(upstream::Slot<C>, time::Duration), retry::AttemptEnd> {
@@ -338,6 +347,9 @@
         if !upstream.allows(envelope.risk, now) {
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::Suspected));
         }
+        if !self.may_start(envelope, route, now) {
+            return Err(retry::AttemptEnd::NotRun(outcome::Rejection::CallsRejected));
+        }
         let budget = self.fleet_budget(service);
         let withdrawn = budget.filter(|_| envelope.is_retry);
         if let Some(budget) = withdrawn
@@ -371,7 +383,9 @@
             }
         };
         let organisation = envelope.organisation.clone();
-        let running = running::Running { deadline, organisation, rank: envelope.rank, objective };
+        let rank = envelope.rank;
+        let running = running::Running { deadline, organisation, rank, objective, route };
+        self.record_start(route);
         let slot = slot.with_kind(kind).with_running(running);
         Ok((slot, service.stall))
     }
--- a/crates/transport/src/sidecar/calls.rs
+++ b/crates/transport/src/sidecar/calls.rs
@@ -1,9 +1,15 @@
 //! What the sidecar knows about calls and retries, for their place in queues and in the budget.
 
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync;
 use std::time;
 
 use lynxmast_protocol::envelope;
 use lynxmast_state::clock;
+use lynxmast_state::ids;
+use lynxmast_state::parent_admission;
 use lynxmast_state::priority;
 use lynxmast_state::retry_need;
 use lynxmast_state::running;
@@ -20,6 +26,86 @@
         let parents = others.filter_map(|upstream| upstream.find_parent(deadline));
         parents.min_by_key(|(distance, _)| *distance).map(|(_, parent)| parent)
     }
+
+    /// Returns the key of a request's route in the sidecar's policy; `None` if it has none.
+    pub(super) fn route_key<B>(
+        &self,
+        request: &http::Request<B>,
+    ) -> Option<parent_admission::RouteKey> {
+        let host = request.headers().get(http::header::HOST)?.to_str().ok()?;
+        let policy = self.shared.policy();
+        let route = policy.find_route(host, request.uri().path(), request.method().as_str())?;
+        let mut hasher = hash::DefaultHasher::new();
+        (&route.host, &route.path, &route.methods).hash(&mut hasher);
+        Some(hasher.finish())
+    }
+
+    /// Returns whether a request may start, as far as its calls are concerned. Calls and retries
+    /// always may: work has been done for them.
+    pub(super) fn may_start(
+        &self,
+        envelope: &envelope::Envelope,
+        route: Option<parent_admission::RouteKey>,
+        now: time::Instant,
+    ) -> bool {
+        let Some(route) = route.filter(|_| !envelope.is_call && !envelope.is_retry) else {
+            return true;
+        };
+        let may_start = lock(&self.parents).admit(route, envelope.rank, now);
+        if !may_start {
+            self.record_held_back(&envelope.upstream.service, now);
+        }
+        may_start
+    }
+
+    /// Counts a request that was not started, and logs the first one in a while.
+    fn record_held_back(&self, service: &ids::ServiceName, now: time::Instant) {
+        metrics::counter!("lynxmast_parents_rejected_total", "service" => service.to_string())
+            .increment(1);
+        let last = lock(&self.last_held_back).replace(now);
+        if last.is_none_or(|at| now.saturating_duration_since(at) >= HELD_BACK_GAP) {
+            log::info!(
+                event = "parents-rejected",
+                service = &**service;
+                "requests are not started while their calls are rejected"
+            );
+        }
+    }
+
+    /// Counts a request that has a slot.
+    pub(super) fn record_start(&self, route: Option<parent_admission::RouteKey>) {
+        if let Some(route) = route {
+            lock(&self.parents).record_start(route, self.shared.now());
+        }
+    }
+
+    /// Counts a call that a running request makes. Returns the value for
+    /// [`Sidecar::record_call_end`](sidecar::Sidecar::record_call_end).
+    pub fn record_call(
+        &self,
+        parent: &running::Running,
+        service: &ids::ServiceName,
+    ) -> parent_admission::HeldBack {
+        let now = self.shared.now();
+        parent.route.map_or(0.0, |route| lock(&self.parents).record_call(route, service, now))
+    }
+
+    /// Counts the end of a call, and whether it was rejected for lack of capacity.
+    pub fn record_call_end(
+        &self,
+        service: &ids::ServiceName,
+        held_back: parent_admission::HeldBack,
+        is_rejected: bool,
+    ) {
+        lock(&self.parents).record_call_end(service, held_back, is_rejected, self.shared.now());
+    }
+}
+
+/// Time without a rejected parent after which the next one is logged again.
+const HELD_BACK_GAP: time::Duration = time::Duration::from_secs(5);
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
 
 /// Returns how much a request needs a retry at an upstream.
--- a/crates/transport/src/upstream/tests.rs
+++ b/crates/transport/src/upstream/tests.rs
@@ -56,7 +56,13 @@
     let deadline = now + SECOND;
     let upstream = upstream(1, now);
     let slot = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), now).await;
-    let request = running::Running { deadline, organisation: "a".into(), rank: 1, objective: None };
+    let request = running::Running {
+        deadline,
+        organisation: "a".into(),
+        rank: 1,
+        objective: None,
+        route: None,
+    };
     let slot = slot.expect("the slot is free").with_running(request.clone());
     let call = deadline + time::Duration::from_millis(2);
     let found = upstream.find_parent(call);
