Tell callers to come back when the queue and the returning callers are served

Callers that were rejected for lack of capacity were told 1.5 s whatever the load, so in a long overload most of them were rejected again. The ingress now derives the time, 1.5 to 6 s, from the rates at which its requests of the service are served and rejected, and the queues reported with rejections.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod byte_budget;
 pub mod clock;
 pub mod concurrency_limit;
+pub mod drain_time;
 pub mod event;
 pub mod fair_queue;
 pub mod fingerprint;
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 
 use crate::clock;
+use crate::drain_time;
 use crate::event;
 use crate::ids;
 use crate::member;
@@ -234,6 +235,8 @@
     pub retries_left: statistics::MovingAverage,
     /// Estimate of the 95th percentile of the time to a response head, in seconds.
     pub latency_p95: statistics::Quantile,
+    /// When callers that are rejected for lack of capacity are to come back.
+    pub drain_time: drain_time::DrainTime,
 }
 
 const LATENCY_QUANTILE: f64 = 0.95;
@@ -243,7 +246,8 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        Self { budget: retry::Budget::default(), retries_left, latency_p95 }
+        let (budget, drain_time) = Default::default();
+        Self { budget, retries_left, latency_p95, drain_time }
     }
 }
 
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod call;
+mod capacity;
 mod head;
 mod hedge;
 mod outstanding;
@@ -207,10 +208,16 @@
         }
     }
 
-    /// Returns when a caller that was rejected for the limits of upstreams may come back.
-    fn next_room(&self, service: &str, end: retry::AttemptEnd) -> Option<time::Duration> {
-        if end != retry::AttemptEnd::NotRun(outcome::Rejection::Limited) {
-            return None;
+    /// Returns when a caller that was rejected for the limits of upstreams, or for lack of capacity,
+    /// may come back.
+    fn next_room(
+        &self,
+        service: &ids::ServiceName,
+        end: retry::AttemptEnd,
+    ) -> Option<time::Duration> {
+        let retry::AttemptEnd::NotRun(rejection) = end else { return None };
+        if rejection != outcome::Rejection::Limited {
+            return self.capacity_due(service, rejection);
         }
         let room = self.shared.router().next_room(service, self.shared.now());
         room.map(|wait| wait.max(RETRY_AFTER_MIN))
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -144,6 +144,7 @@
     ) {
         let now = self.shared.now();
         let id = &outstanding.candidate.id;
+        self.record_capacity(&id.service, report, now);
         if let Some(load) = report.load {
             let mut router = self.shared.router();
             router.record_load(id, load, now);
