Grant the first retry of an upstream that has just started to any request

Since retries are granted by need, an upstream that holds the single retry of its start denied it to all but calls, as it has saved less than it could: three tests of the platform's crate failed, with 500 and 503 instead of a response from another upstream. A reserve is now kept only while retries have been granted lately.

--- a/crates/state/src/upstream_budget.rs
+++ b/crates/state/src/upstream_budget.rs
@@ -48,6 +48,8 @@
     tokens: f64,
     /// Recent first attempts; their weight is the number in [`SAVING_WINDOW`].
     first_attempts: statistics::MovingAverage,
+    /// Retries granted recently.
+    grants: statistics::MovingAverage,
     created: time::Instant,
     /// Time of the last refill from the reserve; `None` before the first.
     refilled: Option<time::Instant>,
@@ -79,6 +81,7 @@
         Self {
             tokens: INITIAL_TOKENS,
             first_attempts: statistics::MovingAverage::new(SAVING_WINDOW.mul_f64(LN_2)),
+            grants: statistics::MovingAverage::new(SAVING_WINDOW.mul_f64(LN_2)),
             created: now,
             refilled: None,
         }
@@ -110,9 +113,13 @@
     ) -> bool {
         self.refill(fleet, now);
         // With savings of one retry nothing can be reserved, or most requests would get none.
-        let reserved = need.reserved() * (self.savings(fleet, now) - 1.0).max(0.0);
+        let savings = (self.savings(fleet, now) - 1.0).max(0.0);
+        // A budget from which nobody has taken lately is not short, however little it has saved: that
+        // of an upstream that has just started holds a single retry.
+        let reserved = need.reserved() * savings * self.grants.weight(now).min(1.0);
         let is_allowed = self.tokens >= 1.0 + reserved;
         if is_allowed {
+            self.grants.record(1.0, now);
             self.tokens -= 1.0;
         }
         is_allowed
--- a/crates/state/src/upstream_budget/tests.rs
+++ b/crates/state/src/upstream_budget/tests.rs
@@ -249,3 +249,17 @@
     assert!(calls > 0.95, "{calls:.2} of the calls");
     assert!(urgent > 3.0 * last, "{urgent:.2} of the urgent, {last:.2} of the last");
 }
+
+/// Guards against an upstream that has just started and denies the first retry that it is asked for:
+/// it has saved less than it could.
+#[test_case(CALL; "call")]
+#[test_case(URGENT; "urgent request")]
+#[test_case(LAST; "request that comes last")]
+fn the_first_retry_after_a_start_is_granted(need: retry_need::RetryNeed) {
+    let start = time::Instant::now();
+    let mut budget = UpstreamBudget::new(start);
+    for number in 0..10_u32 {
+        budget.record_first_attempt(&LARGE, 0.0, start + time::Duration::from_millis(10) * number);
+    }
+    assert!(budget.withdraw(&LARGE, &need, start + time::Duration::from_millis(100)));
+}
