--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -16,6 +16,7 @@
 
 use crate::byte_budget;
 use crate::clock;
+use crate::drain_time;
 use crate::event;
 use crate::ids;
 use crate::member;
@@ -295,6 +296,8 @@
     pub latency_p95: statistics::Quantile,
     /// Speed at which responses arrive.
     pub speed: response_hold::Speed,
+    /// When callers that are rejected for lack of capacity are to come back.
+    pub drain_time: drain_time::DrainTime,
 }
 
 const LATENCY_QUANTILE: f64 = 0.95;
@@ -304,12 +307,8 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        Self {
-            budget: retry::Budget::default(),
-            retries_left,
-            latency_p95,
-            speed: Default::default(),
-        }
+        let (budget, speed, drain_time) = Default::default();
+        Self { budget, retries_left, latency_p95, speed, drain_time }
     }
 }
 
