Gossip load reports, and feed the plans of requests that leave a failure domain

Cause: the plan had no inputs in a daemon.

Change: each daemon reports the demand of its callers and its slots, use and service times (about 30 B, at most 24 reports in a message, two exchanges per second); an ingress adds them up per domain and updates its plans once per second, with the round trips of control messages. Latencies within 1.5 times of the median count as equal again.

--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -94,6 +94,11 @@
         }
         let now = self.shared.now();
         let (mut response, changes) = self.shared.membership().respond(&message, now);
+        if !message.loads.is_empty() {
+            let mut load_reports = self.shared.load_reports();
+            load_reports.merge(&message.loads, now);
+            response.loads = load_reports.update(now);
+        }
         gossip::apply_changes(&self.shared, changes);
         gossip::merge_suspects(&self.shared, &message.suspects);
         let is_full = message.requests_all;
--- a/crates/coordination/src/gossip.rs
+++ b/crates/coordination/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use lynxmast_state::clock;
 use lynxmast_state::event;
@@ -26,6 +27,9 @@
     pub seeds: discovery::Seeds,
 }
 
+/// Ticks between rounds that carry load reports. With a round per second, reports of 75 daemons in four
+/// failure domains were 2.8 s old in the median.
+const TICKS_PER_LOAD_ROUND: u32 = 10;
 /// Probability that a round also contacts a seed, so that partitioned groups merge again.
 const SEED_PROBABILITY: f64 = 0.1;
 
@@ -50,6 +54,9 @@
             let round = gossip.shared.membership().next_round(ticks);
             if let Some(round) = round {
                 gossip.start_round(round);
+            } else if ticks.is_multiple_of(TICKS_PER_LOAD_ROUND) {
+                let kind = membership::RoundKind::Update;
+                gossip.start_round(membership::Round { kind, fanout: 1 });
             }
         }
     }
@@ -89,12 +96,19 @@
 
     async fn exchange(&self, partner: net::SocketAddr, kind: membership::RoundKind) {
         let mut opening = self.shared.membership().opening_message(kind);
-        opening.suspects = self.shared.quarantine().opening_update(self.shared.now());
+        let started = self.shared.now();
+        opening.suspects = self.shared.quarantine().opening_update(started);
+        // Urgent and startup rounds are too frequent for reports that change once per second.
+        if matches!(kind, membership::RoundKind::Heartbeat | membership::RoundKind::Update) {
+            opening.loads = self.shared.load_reports().update(started);
+        }
         let Ok(response) = self.client.exchange(partner, opening).await else {
             metrics::counter!("lynxmast_exchanges_failed_total").increment(1);
             return;
         };
         let now = self.shared.now();
+        self.record_round_trip(partner, now.saturating_duration_since(started));
+        self.shared.load_reports().merge(&response.loads, now);
         let (mut follow_up, changes) = self.shared.membership().apply(&response, now);
         apply_changes(&self.shared, changes);
         merge_suspects(&self.shared, &response.suspects);
@@ -108,6 +122,19 @@
     }
 }
 
+impl<C: clock::Clock> Gossip<C> {
+    /// Records the round trip of a control message to a daemon. The first one to it includes the time
+    /// to connect, on either side of a domain's border.
+    fn record_round_trip(&self, partner: net::SocketAddr, round_trip: time::Duration) {
+        let now = self.shared.now();
+        let membership = self.shared.membership();
+        let domain = membership.all_records().find(|record| record.control == partner);
+        let Some(domain) = domain.map(|record| record.domain.clone()) else { return };
+        drop(membership);
+        self.shared.load_reports().record_round_trip(&domain, round_trip, now);
+    }
+}
+
 /// Merges requests that another daemon suspects of crashing upstreams, and records in the timeline
 /// which ones are quarantined by that.
 pub fn merge_suspects<C: clock::Clock>(
--- a/crates/lynxmast/src/status.rs
+++ b/crates/lynxmast/src/status.rs
@@ -36,6 +36,10 @@
             upstream.connections
         );
     }
+    println!("\nload by service and failure domain:");
+    for load in &status.domains {
+        println!("{}", domain_line(load));
+    }
     println!("\nmembers:");
     for member in &status.members {
         let state = if member.leaving { ", leaving" } else { "" };
@@ -49,3 +53,25 @@
     }
     Ok(())
 }
+
+/// Returns the line of a service in one failure domain, with the reason if requests are sent there.
+fn domain_line(load: &api::Domain) -> String {
+    let sent = match load.receives > 0.0 {
+        true => {
+            format!(", planned to get {:.0}% of this ingress's requests", load.receives * 100.0)
+        }
+        false => String::new(),
+    };
+    let capacity = load.capacity.map_or("unknown".into(), |capacity| format!("{capacity:.1}/s"));
+    format!(
+        "  {} in {}  demand {:.1}/s, capacity {capacity}, {} of {} slots occupied, reports {} ms old, round trip \
+         {:.1} ms longer{sent}",
+        load.service,
+        load.domain,
+        load.demand,
+        load.occupied,
+        load.slots,
+        load.age_ms,
+        load.round_trip_ms
+    )
+}
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -9,6 +9,7 @@
 use lynxmast_coordination::log_follower;
 use lynxmast_protocol::admin as api;
 use lynxmast_state::clock;
+use lynxmast_state::load_report;
 use lynxmast_state::shared_state;
 use lynxmast_transport::client;
 use lynxmast_transport::server;
@@ -42,9 +43,34 @@
             source_epoch,
             upstreams: self.upstreams(),
             members: records,
+            domains: self.domains(),
         }
     }
 
+    fn domains(&self) -> Vec<api::Domain> {
+        let loads = self.shared.domain_loads();
+        let policy = self.shared.policy();
+        let router = self.shared.router();
+        let mut domains = Vec::new();
+        for service in policy.services() {
+            let plan = router.plan(&service.name);
+            for load in loads.get(&load_report::tag(&service.name)).into_iter().flatten() {
+                domains.push(api::Domain {
+                    service: service.name.clone(),
+                    domain: load.domain.clone(),
+                    demand: load.demand,
+                    capacity: Some(load.capacity()).filter(|_| !load.service_time.is_zero()),
+                    slots: load.slots,
+                    occupied: load.occupied,
+                    age_ms: load.age.as_millis() as u64,
+                    round_trip_ms: load.round_trip.as_secs_f64() * 1000.0,
+                    receives: plan.map_or(0.0, |plan| plan.fraction_to(&load.domain)),
+                });
+            }
+        }
+        domains
+    }
+
     fn upstreams(&self) -> Vec<api::Upstream> {
         let now = self.shared.now();
         let upstreams = self.sidecar.upstreams();
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -38,6 +38,32 @@
         pub upstreams: Vec<Upstream>,
         /// Membership records of the known daemons, each as published by that daemon.
         pub members: Vec<member::Record>,
+        /// Load of each service in each failure domain, as far as reports are known.
+        #[serde(default)]
+        pub domains: Vec<Domain>,
+    }
+
+    /// Load of a service in a failure domain, and what this ingress sends there.
+    pub struct Domain {
+        /// Name of the service.
+        pub service: ids::ServiceName,
+        /// Failure domain.
+        pub domain: ids::DomainName,
+        /// Requests of the domain's callers per second.
+        pub demand: f64,
+        /// Requests per second that the domain's upstreams serve at most; `None` until the service time
+        /// is known.
+        pub capacity: Option<f64>,
+        /// Open slots of the domain's upstreams.
+        pub slots: u32,
+        /// Slots in use and requests that wait for one.
+        pub occupied: u32,
+        /// Mean age of the reports in milliseconds.
+        pub age_ms: u64,
+        /// Round trip to the domain in milliseconds, beyond that within the own one.
+        pub round_trip_ms: f64,
+        /// Fraction of this ingress's requests that is planned to go there; 0 for the own domain.
+        pub receives: f64,
     }
 
     /// Status of an upstream at its sidecar.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fingerprint;
 pub mod ids;
 pub mod load;
+pub mod load_report;
 pub mod member;
 pub mod membership;
 pub mod outcome;
--- a/crates/state/src/membership/message.rs
+++ b/crates/state/src/membership/message.rs
@@ -1,6 +1,7 @@
 //! Message of a gossip exchange.
 
 use crate::ids;
+use crate::load_report;
 use crate::member;
 use crate::quarantine;
 
@@ -29,6 +30,9 @@
         /// Requests that are suspected of crashing upstreams.
         #[serde(default)]
         pub suspects: quarantine::SuspectUpdate,
+        /// Recent load reports.
+        #[serde(default)]
+        pub loads: Vec<load_report::LoadReport>,
     }
 }
 
--- a/crates/state/src/router.rs
+++ b/crates/state/src/router.rs
@@ -201,10 +201,9 @@
 /// Half-life of an upstream's latency in excess of the median, so that a slow upstream is tried
 /// again.
 const SLOW_HALF_LIFE: time::Duration = time::Duration::from_secs(10);
-/// Number of samples at the median latency assumed in addition to the recorded ones, as the latency of
-/// a few requests says more about these than about the upstream.
-const LATENCY_PRIOR_SAMPLES: f64 = 8.0;
-/// Multiple of the service's median latency above which an upstream counts as clearly slower.
+/// Multiple of the service's median latency below which a higher latency counts as noise. With the
+/// measured latency of each upstream instead, the fastest one of an idle service got all requests and
+/// a restarted one none for 4 s.
 const LATENCY_NOISE_FACTOR: f64 = 1.5;
 /// Maximum of an upstream's excess latency, as a multiple of the service's median latency.
 const LATENCY_FACTOR_MAX: f64 = 20.0;
@@ -405,6 +404,11 @@
         self.pools.get_mut(service).map(|pool| change(&mut pool.plan))
     }
 
+    /// Returns the plan of a service; `None` if the service has no candidates.
+    pub fn plan(&self, service: &str) -> Option<&spillover::Plan> {
+        self.pools.get(service).map(|pool| &pool.plan)
+    }
+
     /// Returns whether a service has candidates.
     pub fn has_candidates(&self, service: &str) -> bool {
         self.pools.get(service).is_some_and(|pool| !pool.upstreams.is_empty())
@@ -551,14 +555,12 @@
         self.expected_latency(median, now) * factor
     }
 
-    /// Returns the expected latency in seconds: that of the upstream, moved towards the median while
-    /// there are few samples, unless it is clearly slower; then the median plus its excess, which
-    /// decays with the age of the latest sample.
+    /// Returns the expected latency in seconds: the median unless the upstream is clearly slower,
+    /// and then the median plus its excess, which decays with the age of the latest sample.
     fn expected_latency(&self, median: f64, now: time::Instant) -> f64 {
         let Some(latency) = self.latency.value() else { return median };
         if latency < median * LATENCY_NOISE_FACTOR {
-            let weight = self.latency.weight(now);
-            return median + (latency - median) * weight / (weight + LATENCY_PRIOR_SAMPLES);
+            return median;
         }
         let age = self
             .latency_sampled
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
 //! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `limiter`, `allocator`, `traffic`,
-//! `response_sizes`, `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
+//! `response_sizes`, `load_reports`, `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
 //! an await point. The admission state is private to the sidecar and never locked together with these.
 
 use std::hash;
@@ -16,6 +16,7 @@
 use crate::clock;
 use crate::event;
 use crate::ids;
+use crate::load_report;
 use crate::member;
 use crate::membership;
 use crate::policy::compiled;
@@ -26,6 +27,7 @@
 use crate::response_size;
 use crate::retry;
 use crate::router;
+use crate::spillover;
 use crate::startup;
 use crate::statistics;
 
@@ -47,6 +49,7 @@
     allocator: sync::Mutex<rate_limit::Allocator>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
     response_sizes: sync::Mutex<response_size::ResponseSizes>,
+    load_reports: sync::Mutex<load_report::LoadReports>,
     quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router was last synchronised with.
@@ -84,6 +87,7 @@
             allocator: Default::default(),
             traffic: Default::default(),
             response_sizes: Default::default(),
+            load_reports: Default::default(),
             quarantine: Default::default(),
             events: sync::Mutex::new(ring),
             router_generation: Default::default(),
@@ -174,6 +178,29 @@
         lock(&self.response_sizes)
     }
 
+    /// Locks the load reports.
+    pub fn load_reports(&self) -> sync::MutexGuard<'_, load_report::LoadReports> {
+        lock(&self.load_reports)
+    }
+
+    /// Returns the loads of the failure domains by service, from the reports of live daemons.
+    pub fn domain_loads(&self) -> load_report::ServiceLoads {
+        let now = self.now();
+        let membership = self.membership();
+        let own_domain = membership.own_record().domain.clone();
+        let live = membership.live_records(now).map(|record| (&record.daemon, &record.domain));
+        self.load_reports().domain_loads(live, &own_domain, now)
+    }
+
+    /// Returns the requests that callers send to this ingress, by service.
+    pub fn demands(&self) -> Vec<(ids::ServiceName, spillover::CallerDemand)> {
+        let now = self.now();
+        let traffic = lock(&self.traffic);
+        let demands =
+            traffic.iter().map(|(name, traffic)| (name.clone(), traffic.demand.read(now)));
+        demands.collect()
+    }
+
     /// Locks the requests that are suspected of crashing upstreams.
     pub fn quarantine(&self) -> sync::MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
@@ -240,6 +267,8 @@
     pub budget: retry::Budget,
     /// Retries left that sidecars of the service have reported recently.
     pub retries_left: statistics::MovingAverage,
+    /// Requests of callers.
+    pub demand: spillover::DemandMeter,
     /// Estimate of the 95th percentile of the time to a response head, in seconds.
     pub latency_p95: statistics::Quantile,
 }
@@ -251,7 +280,8 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        Self { budget: retry::Budget::default(), retries_left, latency_p95 }
+        let demand = spillover::DemandMeter::default();
+        Self { budget: retry::Budget::default(), retries_left, demand, latency_p95 }
     }
 }
 
--- a/crates/state/src/spillover.rs
+++ b/crates/state/src/spillover.rs
@@ -10,6 +10,11 @@
 
 use crate::ids;
 
+mod demand;
+
+pub use demand::CallerDemand;
+pub use demand::DemandMeter;
+
 /// Demand and room of a service in one failure domain, as far as a daemon knows them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DomainLoad {
@@ -278,7 +283,8 @@
         target.map(|(domain, _)| domain)
     }
 
-    fn fraction_to(&self, domain: &str) -> f64 {
+    /// Returns the fraction of all requests that goes to another domain.
+    pub fn fraction_to(&self, domain: &str) -> f64 {
         let known = self.targets.iter().find(|(name, _)| &**name == domain);
         known.map_or(0.0, |(_, fraction)| *fraction)
     }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -6,6 +6,7 @@
 mod outstanding;
 mod quarantine;
 mod retries;
+mod spillover;
 mod telemetry;
 
 use std::net;
@@ -52,6 +53,7 @@
     fingerprint_key: fingerprint::Key,
     /// Samples the successful requests that are logged.
     success_sampler: sampling::Sampler,
+    spillover: spillover::PlanUpdates,
 }
 
 /// Settings with which an ingress identifies itself to other daemons, callers and backend servers.
@@ -167,7 +169,17 @@
         let peers = peers::Peers::default();
         let success_sampler = sampling::Sampler::new(telemetry::SUCCESSES_SKIPPED);
         let fingerprint_key = fingerprint::Key::from_secret(&identity.secret);
-        Self { shared, sidecar, peers, own_daemon, identity, fingerprint_key, success_sampler }
+        let spillover = spillover::PlanUpdates::default();
+        Self {
+            shared,
+            sidecar,
+            peers,
+            own_daemon,
+            identity,
+            fingerprint_key,
+            success_sampler,
+            spillover,
+        }
     }
 
     /// Serves one caller's request. Rejections and failures are returned as HTTP responses too.
@@ -217,11 +229,13 @@
         room.map(|wait| wait.max(RETRY_AFTER_MIN))
     }
 
-    /// Does periodic work: closes connections to sidecars of daemons that have left the membership.
+    /// Does periodic work: closes connections to sidecars of daemons that have left the membership, and
+    /// updates the load report and the plans of requests that leave the failure domain.
     pub fn tick(&self) {
         let sidecars: Vec<_> =
             self.shared.membership().all_records().map(|record| record.sidecar).collect();
         self.peers.retain(&sidecars);
+        self.update_plans();
     }
 
     /// Validates, routes and authorises a request, applies the size and rate limits, and prepares
@@ -457,6 +471,11 @@
             tried: &tried,
             now,
         };
+        if progress.contacted() == 0 {
+            self.shared.with_traffic(&context.route_match.service.name, |traffic| {
+                traffic.demand.record(criteria.class(), criteria.transfer_seconds(), now);
+            });
+        }
         let mut router = self.shared.router();
         let mut picked = router.pick(&criteria, &mut rand::rng());
         let lost = retry::AttemptEnd::MayHaveRun(outcome::Failure::ConnectionLost);
