--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod key_wait;
 pub mod load;
+pub mod load_report;
 pub mod member;
 pub mod membership;
 pub mod outcome;
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,9 +1,9 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
 //! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `spender`, `quota_owner`, `traffic`,
-//! `response_sizes`, `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock
-//! is held across an await point. `held_bytes` locks for single additions and is acquired last. The
-//! admission state is private to the sidecar and never locked together with these.
+//! `response_sizes`, `load_reports`, `quarantine`, `events`. A task that holds one lock acquires only
+//! later ones. No lock is held across an await point. `held_bytes` locks for single additions and is
+//! acquired last. The admission state is private to the sidecar and never locked together with these.
 
 use std::hash;
 use std::hash::Hash;
@@ -19,6 +19,7 @@
 use crate::drain_time;
 use crate::event;
 use crate::ids;
+use crate::load_report;
 use crate::member;
 use crate::membership;
 use crate::policy::compiled;
@@ -34,6 +35,7 @@
 use crate::response_size;
 use crate::retry;
 use crate::router;
+use crate::spillover;
 use crate::startup;
 use crate::statistics;
 
@@ -57,6 +59,7 @@
     quota_owner: sync::Mutex<owner::Owner>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
     response_sizes: sync::Mutex<response_size::ResponseSizes>,
+    load_reports: sync::Mutex<load_report::LoadReports>,
     quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router was last synchronised with.
@@ -98,6 +101,7 @@
             quota_owner: sync::Mutex::new(quota_owner),
             traffic: Default::default(),
             response_sizes: Default::default(),
+            load_reports: Default::default(),
             quarantine: Default::default(),
             events: sync::Mutex::new(ring),
             router_generation: Default::default(),
@@ -226,6 +230,29 @@
         lock(&self.response_sizes)
     }
 
+    /// Locks the load reports.
+    pub fn load_reports(&self) -> sync::MutexGuard<'_, load_report::LoadReports> {
+        lock(&self.load_reports)
+    }
+
+    /// Returns the loads of the failure domains by service, from the reports of live daemons.
+    pub fn domain_loads(&self) -> load_report::ServiceLoads {
+        let now = self.now();
+        let membership = self.membership();
+        let own_domain = membership.own_record().domain.clone();
+        let live = membership.live_records(now).map(|record| (&record.daemon, &record.domain));
+        self.load_reports().domain_loads(live, &own_domain, now)
+    }
+
+    /// Returns the requests that callers send to this ingress, by service.
+    pub fn demands(&self) -> Vec<(ids::ServiceName, spillover::CallerDemand)> {
+        let now = self.now();
+        let traffic = lock(&self.traffic);
+        let demands =
+            traffic.iter().map(|(name, traffic)| (name.clone(), traffic.demand.read(now)));
+        demands.collect()
+    }
+
     /// Locks the requests that are suspected of crashing upstreams.
     pub fn quarantine(&self) -> sync::MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
@@ -292,6 +319,8 @@
     pub budget: retry::Budget,
     /// Retries left that sidecars of the service have reported recently.
     pub retries_left: statistics::MovingAverage,
+    /// Requests of callers.
+    pub demand: spillover::DemandMeter,
     /// Estimate of the 95th percentile of the time until a response can be passed on, in seconds.
     pub latency_p95: statistics::Quantile,
     /// Speed at which responses arrive.
@@ -307,8 +336,8 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        let (budget, speed, drain_time) = Default::default();
-        Self { budget, retries_left, latency_p95, speed, drain_time }
+        let (budget, demand, speed, drain_time) = Default::default();
+        Self { budget, retries_left, demand, latency_p95, speed, drain_time }
     }
 }
 
