Bound the bytes of request bodies that a backend server holds

Cause: a backend server keeps the bodies of the requests that it runs and crashes if they exceed its memory. Only the number of requests was bounded.

Change: [[service]] body-bytes (at least 64 KiB, unlimited if absent). The sidecar lets a body in before the request gets a slot; others wait in order for at most max-wait, and are rejected as not run once a limit's worth of bytes waits, so that the ingress asks other sidecars.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod backoff;
+pub mod body_window;
 pub mod byte_budget;
 pub mod clock;
 pub mod event;
--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -58,6 +58,8 @@
         /// Longest time without progress on a body before the request is aborted.
         #[serde(with = "humantime_serde")]
         pub stall: time::Duration,
+        /// Bytes of request bodies that one upstream may hold at the same time; `None` for no limit.
+        pub body_bytes: Option<u64>,
     }
 }
 
@@ -79,6 +81,7 @@
             hedge_after: 1.0,
             preset: Preset::Steady,
             stall: time::Duration::from_secs(10),
+            body_bytes: None,
         }
     }
 }
@@ -89,6 +92,8 @@
 const RETRY_RESERVE_MAX: f64 = 1_000_000.0;
 /// Longest `max_wait`, `ramp`, `stall` and `retry_window`.
 const DURATION_MAX: time::Duration = time::Duration::from_secs(600);
+/// Smallest `body_bytes`. Smaller requests are not held back before they have a slot.
+const BODY_BYTES_MIN: u64 = 64 * 1024;
 const HEDGE_AFTER_MAX: f64 = 100.0;
 /// Shortest `stall` and `retry_window`.
 const DURATION_MIN: time::Duration = time::Duration::from_millis(100);
@@ -154,5 +159,7 @@
         );
         let stall_ok = (DURATION_MIN..=DURATION_MAX).contains(&self.stall);
         require(stall_ok, "stall", "is not in the range 100ms to 600s".into());
+        let body_ok = self.body_bytes.is_none_or(|bytes| bytes >= BODY_BYTES_MIN);
+        require(body_ok, "body-bytes", format!("is less than {BODY_BYTES_MIN}"));
     }
 }
--- a/crates/testing/examples/daemon_memory.rs
+++ b/crates/testing/examples/daemon_memory.rs
@@ -94,8 +94,13 @@
         let request = caller::Request { host: "h.example", path: "/", ..Default::default() };
         let (mut served, mut failed) = (0, 0);
         while time::Instant::now() < until {
-            let is_success = caller.send(&request).await.is_success();
-            *(if is_success { &mut served } else { &mut failed }) += 1;
+            let response = caller.send(&request).await;
+            if response.is_success() {
+                served += 1;
+            } else {
+                println!("failed: {} {} {:?}", response.status, response.reason, response.elapsed);
+                failed += 1;
+            }
             tokio::time::sleep(PAUSE).await;
         }
         (served, failed)
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fake_log;
 pub mod fault_proxy;
 pub mod fleet;
+pub mod holding_backend;
 pub mod load;
 pub mod paced_backend;
 pub mod scripted_backend;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announcement_server;
 pub mod body;
 pub mod body_error;
+pub mod body_gate;
 pub mod client;
 pub mod cutoff;
 pub mod error_response;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! does not respond and the ingress allows it to be resent. A request that the sidecar rejects has not been forwarded.
 
 mod announcements;
+mod bodies;
 mod departed;
 mod forwarding;
 
@@ -177,7 +178,10 @@
     ) -> Result<http::Response<exchange::SidecarBody<C>>, retry::AttemptEnd> {
         let now = self.shared.now();
         let deadline = now + envelope.time_left;
+        let body = self.admit_body(envelope, upstream, request.body(), deadline).await?;
+        let now = now.max(self.shared.now());
         let (slot, stall) = self.admit(envelope, upstream, now, deadline).await?;
+        let slot = slot.with_body(body);
         let connection = upstream.pool.acquire().await.map_err(retry::AttemptEnd::NotRun)?;
         let started = self.shared.now();
         let time_left = deadline.saturating_duration_since(started);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -16,6 +16,7 @@
 use lynxmast_state::upstream_budget;
 use tokio::sync::oneshot;
 
+use crate::body_gate;
 use crate::pool;
 
 /// Sends a waiting request its slot or the reason for its rejection.
@@ -28,6 +29,8 @@
     pub id: ids::UpstreamId,
     /// Connections to the backend server.
     pub pool: sync::Arc<pool::Pool<C>>,
+    /// Bytes of request bodies that the backend server holds.
+    pub body_gate: body_gate::BodyGate,
     clock: C,
     admission: sync::Mutex<admission::Admission<Option<SlotSender<C>>>>,
     lease: sync::Mutex<Lease>,
@@ -101,6 +104,8 @@
     acquired: time::Instant,
     forwarded: atomic::AtomicBool,
     kind: RequestKind,
+    /// Permit for the request body, which the backend server may hold until it has responded.
+    body: Option<body_gate::BodyPermit>,
 }
 
 /// Whether a request may be forwarded to a backend server more than once, or has been.
@@ -128,6 +133,7 @@
         Self {
             id,
             pool,
+            body_gate: Default::default(),
             clock,
             admission,
             lease: sync::Mutex::new(lease),
@@ -529,6 +535,7 @@
             acquired,
             forwarded: Default::default(),
             kind: RequestKind::NotRetryable,
+            body: None,
         }
     }
 }
@@ -548,6 +555,12 @@
         self
     }
 
+    /// Holds the permit for the request body until the slot is released.
+    pub fn with_body(mut self, body: Option<body_gate::BodyPermit>) -> Self {
+        self.body = body;
+        self
+    }
+
     /// Returns the counters that include the request.
     fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
         let retryable =
