Pass responses between daemons on in frames of 4 KiB

Cause: on a link of 17 Mbit/s a small response waited 268 ms beside eight downloads: HTTP/2 sends a frame of 16 KiB of each stream in turn, and a response needs three turns (head, body, end).

Change: a sidecar splits the frames of its responses (SmallFrames). Stand-in for a narrow link and a test.

--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod fleet;
 pub mod holding_backend;
 pub mod load;
+pub mod narrow_link;
 pub mod paced_backend;
 pub mod scripted_backend;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod server;
 pub mod sidecar;
 pub mod sidecar_server;
+pub mod small_frames;
 pub mod socket;
 pub mod stall_timeout;
 pub mod upstream;
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -17,6 +17,7 @@
 use crate::exchange;
 use crate::server;
 use crate::sidecar;
+use crate::small_frames;
 use crate::stall_timeout;
 
 /// Serves requests from the ingresses of other daemons.
@@ -33,7 +34,7 @@
     /// No body, because no backend server responded.
     Empty,
     /// Body of a backend server's response.
-    Response(exchange::SidecarBody<C>),
+    Response(small_frames::SmallFrames<exchange::SidecarBody<C>>),
 }
 
 impl<C: clock::Clock> SidecarServer<C> {
@@ -67,7 +68,8 @@
         });
         let attempt = self.sidecar.serve(&envelope, request).await;
         let mut response = match attempt.result {
-            Ok(response) => response.map(PeerResponseBody::Response),
+            Ok(response) => response
+                .map(|body| PeerResponseBody::Response(small_frames::SmallFrames::new(body))),
             Err(_) => http::Response::new(PeerResponseBody::Empty),
         };
         attempt.report.write(response.headers_mut());
