--- a/crates/state/src/policy/tests.rs
+++ b/crates/state/src/policy/tests.rs
@@ -41,6 +41,7 @@
 #[test_case("[[service]]\nname = 'x'\nflor = 3\n", "service[1].flor", 17; "unknown key")]
 #[test_case("[[service]]\nname = 'x'\nramp = 'soon'\n", "service[1].ramp", 17; "invalid duration")]
 #[test_case("[[service]]\nname = 'x'\npreset = 'quick'\n", "service[1].preset", 17; "unknown preset")]
+#[test_case("[[service]]\nname = 'x'\nbody-bytes = 1000\n", "service[1].body-bytes", 17; "too few body bytes")]
 #[test_case("[[route]]\nservice = 'y'\nhost = 'h'\n", "route[2].service", 16; "unknown service")]
 #[test_case("[[route]]\nservice = 's'\nhost = 'H:80'\n", "route[2].host", 17; "host with port")]
 #[test_case("[[route]]\nservice = 's'\nhost = 'shop.example'\npath = '/checkout'\nmethods = ['POST']\n", "route[2].path", 18; "duplicate route")]
