--- a/crates/state/src/policy/tests.rs
+++ b/crates/state/src/policy/tests.rs
@@ -44,6 +44,7 @@
 #[test_case("[[service]]\nname = 'x'\ntransfer-cost = -1.0\n", "service[1].transfer-cost", 17; "negative transfer cost")]
 #[test_case("[[service]]\nname = 'x'\ntransfer-cost = 3601.0\n", "service[1].transfer-cost", 17; "transfer cost above the range")]
 #[test_case("[[service]]\nname = 'x'\ntransfer-cost = nan\n", "service[1].transfer-cost", 17; "transfer cost that is no number")]
+#[test_case("[[service]]\nname = 'x'\nbody-bytes = 1000\n", "service[1].body-bytes", 17; "too few body bytes")]
 #[test_case("[[route]]\nservice = 'y'\nhost = 'h'\n", "route[2].service", 16; "unknown service")]
 #[test_case("[[route]]\nservice = 's'\nhost = 'H:80'\n", "route[2].host", 17; "host with port")]
 #[test_case("[[route]]\nservice = 's'\nhost = 'shop.example'\npath = '/checkout'\nmethods = ['POST']\n", "route[2].path", 18; "duplicate route")]
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod announcement_server;
 pub mod body;
 pub mod body_error;
+pub mod body_gate;
 pub mod client;
 pub mod cutoff;
 pub mod error_response;
@@ -25,6 +26,7 @@
 pub mod server;
 pub mod sidecar;
 pub mod sidecar_server;
+pub mod small_frames;
 pub mod socket;
 pub mod stall_timeout;
 pub mod upstream;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! does not respond and the ingress allows it to be resent. A request that the sidecar rejects has not been forwarded.
 
 mod announcements;
+mod bodies;
 mod calls;
 mod departed;
 mod forwarding;
@@ -191,7 +192,10 @@
         let now = self.shared.now();
         let deadline = now + envelope.time_left;
         let route = self.route_key(&request);
+        let body = self.admit_body(envelope, upstream, request.body(), deadline).await?;
+        let now = now.max(self.shared.now());
         let (slot, stall) = self.admit(envelope, upstream, route, now, deadline).await?;
+        let slot = slot.with_body(body);
         let connection = upstream.pool.acquire().await.map_err(retry::AttemptEnd::NotRun)?;
         let started = self.shared.now();
         let time_left = deadline.saturating_duration_since(started);
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -19,6 +19,7 @@
 use lynxmast_state::upstream_budget;
 use tokio::sync::oneshot;
 
+use crate::body_gate;
 use crate::pool;
 
 /// Sends a waiting request its slot or the reason for its rejection.
@@ -31,6 +32,8 @@
     pub id: ids::UpstreamId,
     /// Connections to the backend server.
     pub pool: sync::Arc<pool::Pool<C>>,
+    /// Bytes of request bodies that the backend server holds.
+    pub body_gate: body_gate::BodyGate,
     clock: C,
     admission: sync::Mutex<admission::Admission<Option<SlotSender<C>>>>,
     lease: sync::Mutex<Lease>,
@@ -112,6 +115,8 @@
     kind: RequestKind,
     /// Number among the running requests of the upstream.
     running: Option<running::Number>,
+    /// Permit for the request body, which the backend server may hold until it has responded.
+    body: Option<body_gate::BodyPermit>,
 }
 
 /// Whether a request may be forwarded to a backend server more than once, or has been.
@@ -139,6 +144,7 @@
         Self {
             id,
             pool,
+            body_gate: Default::default(),
             clock,
             admission,
             lease: sync::Mutex::new(lease),
@@ -592,6 +598,7 @@
             forwarded: Default::default(),
             kind: RequestKind::NotRetryable,
             running: None,
+            body: None,
         }
     }
 }
@@ -617,6 +624,12 @@
         self
     }
 
+    /// Holds the permit for the request body until the slot is released.
+    pub fn with_body(mut self, body: Option<body_gate::BodyPermit>) -> Self {
+        self.body = body;
+        self
+    }
+
     /// Returns the counters that include the request.
     fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
         let retryable =
