--- a/crates/state/src/quota/bounds.rs
+++ b/crates/state/src/quota/bounds.rs
@@ -24,6 +24,10 @@
     }
 }
 
+/// Fraction of the burst that is added to the rate, over the window, rather than to the capacity. In
+/// each window the organisation may send its burst in addition to its rate; a bucket of the whole burst
+/// allows that only in the first one.
+const REFILLED_BURST: f64 = 0.5;
 /// Fraction of what the bounds allow beyond the quota that is added to the owner's bucket. The rest
 /// covers the varying time between the admission and the run of a request, and daemons that regard
 /// each other as silent at different times.
@@ -46,7 +50,13 @@
     /// Returns the capacity of the owner's token bucket.
     pub fn capacity(&self, limit: &quota::Limit) -> f64 {
         let beyond = self.runs_max(limit) - self.within_quota(limit);
-        limit.burst + CAPACITY_FRACTION * beyond
+        (1.0 - REFILLED_BURST) * limit.burst + CAPACITY_FRACTION * beyond
+    }
+
+    /// Returns the tokens per second that the owner's bucket gets. In one window, they and the
+    /// capacity add up to the quota and [`CAPACITY_FRACTION`] of what the bounds allow beyond it.
+    pub fn refill(&self, limit: &quota::Limit) -> f64 {
+        limit.rate + REFILLED_BURST * limit.burst / self.window.as_secs_f64()
     }
 
     fn within_quota(&self, limit: &quota::Limit) -> f64 {
--- a/crates/state/src/quota/owner.rs
+++ b/crates/state/src/quota/owner.rs
@@ -120,7 +120,7 @@
         let share = self.low_share(position.share, now);
         let settled = now.saturating_duration_since(self.resumed).saturating_sub(SETTLE_TIME);
         let age = position.age.min(settled);
-        let rate = limit.rate * share;
+        let rate = self.bounds.refill(limit) * share;
         let capacity = self.bounds.capacity(limit) * share;
         let accrued = (rate * age.as_secs_f64()).min(capacity);
         let account = self.accounts.entry(ask.organisation.clone()).or_insert_with(|| Account {
