Test quotas under kills and partitions at 78 daemons, and within the quota

Cause: the simulated fleets of 78 daemons had no faults, and the test over real daemons did not cover requests within the quota.

Change: a simulated fleet with 47 of 78 daemons killed for 1.5 s and eight partitioned for 15 s at eight times the quota; three daemons at six tenths of the quota.

Measured: the bound holds in both. Tests of state::quota and testing::limits pass; others were not run again.

--- a/crates/state/src/quota/tests.rs
+++ b/crates/state/src/quota/tests.rs
@@ -199,6 +199,36 @@
     assert_eq!(late, 0, "{:?}", fleet.rejected);
 }
 
+// One organisation at eight times its quota and 20 others at six tenths of theirs; 47 daemons are
+// killed for 1.5 s, and eight others are in another partition for 15 s.
+#[test]
+fn the_bound_holds_at_eight_times_with_sixty_percent_killed_and_a_tenth_partitioned() {
+    let mut fleet = simulation::Fleet::new(DAEMONS, NETWORK, Planted::None, 7);
+    let end_ms = STARTED_MS + 30_000;
+    fleet.set_limit("hot", limit(96.0));
+    let mut loads = vec![("hot", Callers::Spread, 768.0, STARTED_MS..end_ms)];
+    let names: Vec<String> = (0..20).map(|n| format!("o{n}")).collect();
+    for name in &names {
+        fleet.set_limit(name, limit(16.0));
+        loads.push((name, Callers::Spread, 9.6, STARTED_MS..end_ms));
+    }
+    run(&mut fleet, &loads, STARTED_MS + 2000);
+    (70..78).for_each(|daemon| fleet.set_part(daemon, 1));
+    run(&mut fleet, &loads, STARTED_MS + 3000);
+    (0..47).for_each(|daemon| fleet.kill(daemon));
+    run(&mut fleet, &loads, STARTED_MS + 4500);
+    (0..47).for_each(|daemon| fleet.restart(daemon));
+    run(&mut fleet, &loads, STARTED_MS + 17_000);
+    (70..78).for_each(|daemon| fleet.set_part(daemon, 0));
+    run(&mut fleet, &loads, end_ms);
+    check_bound(&fleet, "hot", &limit(96.0));
+    let count = |times, range: std::ops::Range<u64>| -> usize {
+        names.iter().map(|name| simulation::Fleet::count(times, name, range.clone())).sum()
+    };
+    // Five seconds after the partition has ended, all organisations have their quota again.
+    assert_eq!(count(&fleet.rejected, end_ms - 8000..end_ms), 0);
+}
+
 /// Returns the number of requests that an ingress admits at `later_ms`, of eight, after an ask at 0 ms
 /// and a response with four tokens that arrives at `arrived_ms`.
 fn check_tokens(arrived_ms: u64, later_ms: u64) -> usize {
--- a/crates/testing/tests/limits.rs
+++ b/crates/testing/tests/limits.rs
@@ -44,3 +44,19 @@
     assert!((54.0..=66.0).contains(&admitted), "{admitted} requests/s admitted, limit 60");
     assert!(stats.outcomes.contains_key("not-run-rate-limited"), "{:?}", stats.outcomes);
 }
+
+// Guards against requests that are rejected because the tokens of the organisation are at another
+// ingress, and against ingresses that do not reach the owner of its quota.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_rejected_at_six_tenths_of_the_quota_over_all_ingresses() {
+    let (fleet, _backends) = start().await;
+    // Owners of quotas lend nothing in their first two seconds.
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    let key = Some("key".to_owned());
+    let request = caller::Request { host: "h.example", path: "/", key, ..Default::default() };
+    let targets = (0..3).map(|daemon| fleet.ingress_address(daemon)).collect();
+    let duration = time::Duration::from_secs(4);
+    let plan = load::Plan { targets, request, rate: 36.0, duration, seed: 2 };
+    let stats = load::run(plan).await;
+    assert!(!stats.outcomes.contains_key("not-run-rate-limited"), "{:?}", stats.outcomes);
+}
