Check the quota of an organisation in the soak

Cause: the soak did not cover quotas.

Change: one caller per ingress sends requests of an organisation with 10 requests/s throughout the faults; no more requests than the quota allows may begin and end within any window of 5 s. The other routes of the soak are public.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,6 +8,8 @@
 
 use indexmap::IndexMap;
 use lynxmast_protocol::log as api;
+use lynxmast_state::policy::organisation;
+use lynxmast_state::quota;
 use lynxmast_testing::backend;
 use lynxmast_testing::crashing_backend;
 use lynxmast_testing::fake_log;
@@ -51,6 +53,12 @@
 pub const NON_IDEMPOTENT_PATH: &str = "/buy";
 /// Path of the idempotent route whose requests crash the backend server that runs them.
 pub const CRASHING_PATH: &str = "/crash";
+/// Path of the idempotent route of the organisation with a quota.
+pub const QUOTA_PATH: &str = "/quota";
+/// Key of the organisation with a quota.
+pub const QUOTA_KEY: &str = "key-of-the-limited-organisation";
+/// Quota of the organisation.
+pub const QUOTA: quota::Limit = quota::Limit { rate: 10.0, burst: 10.0 };
 /// Deadline of all routes.
 pub const DEADLINE: time::Duration = time::Duration::from_secs(2);
 
@@ -79,12 +87,18 @@
 fn section(edit: u64) -> String {
     format!(
         "team = 'soak'\n[[service]]\nname = '{SERVICE}'\nramp = '0s'\nqueue = {}\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{CRASHING_PATH}'\nidempotent = true\n\
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{CRASHING_PATH}'\nidempotent = true\npublic = true\n\
          deadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{IDEMPOTENT_PATH}'\nidempotent = true\n\
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{IDEMPOTENT_PATH}'\nidempotent = true\npublic = true\n\
          deadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\ndeadline = '2s'\n",
-        100 + edit % 100
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\npublic = true\ndeadline = '2s'\n\
+         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{QUOTA_PATH}'\nidempotent = true\n\
+         deadline = '2s'\n\
+         [[organisation]]\nname = 'limited'\nkey-hash = '{}'\nrate = {:?}\nburst = {:?}\n",
+        100 + edit % 100,
+        organisation::hash_key(QUOTA_KEY),
+        QUOTA.rate,
+        QUOTA.burst
     )
 }
 
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use lynxmast_protocol::admin;
+use lynxmast_state::quota::bounds;
 use lynxmast_transport::client;
 
 use crate::fleet;
@@ -55,6 +56,21 @@
     violations
 }
 
+/// Returns a violation if more requests ran within a window than the quota allows. A request whose
+/// whole time from sending to the response is in the window ran in it.
+pub fn check_quota(runs: &[load::Run]) -> Vec<String> {
+    let bounds = bounds::Bounds::default();
+    let allowed = bounds.runs_max(&fleet::QUOTA);
+    let within = |start: time::Instant| {
+        let end = start + bounds.window;
+        runs.iter().filter(|run| run.sent >= start && run.completed <= end).count()
+    };
+    let busiest = runs.iter().map(|run| within(run.sent)).max().unwrap_or(0);
+    let is_exceeded = busiest as f64 > allowed;
+    let message = format!("{busiest} requests ran within a window, the quota allows {allowed}");
+    is_exceeded.then_some(message).into_iter().collect()
+}
+
 /// Returns a violation for each ingress whose success rate after the faults is too low; `rates`
 /// holds the success rates by index of the ingress.
 pub fn check_recovery(rates: &[f64]) -> Vec<String> {
--- a/crates/soak/src/invariants/tests.rs
+++ b/crates/soak/src/invariants/tests.rs
@@ -47,3 +47,15 @@
 fn an_ingress_that_does_not_recover_is_detected() {
     assert_eq!(check_recovery(&[1.0, 0.95, 0.5]).len(), 1);
 }
+
+#[test_case(&[(0.0, 0.1); 86], 0; "as many as the quota allows")]
+#[test_case(&[(0.0, 0.1); 87], 1; "more than the quota allows")]
+#[test_case(&[(0.0, 5.1); 87], 0; "perhaps in several windows")]
+fn runs_over_the_quota_are_detected(runs: &[(f64, f64)], expected: usize) {
+    let start = time::Instant::now();
+    let at = |seconds| start + time::Duration::from_secs_f64(seconds);
+    let run =
+        |&(sent, completed): &(f64, f64)| load::Run { sent: at(sent), completed: at(completed) };
+    let runs: Vec<load::Run> = runs.iter().map(run).collect();
+    assert_eq!(check_quota(&runs).len(), expected);
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -45,6 +45,7 @@
     let mut fleet = fleet::Fleet::start(plan).await?;
     let faults = schedule::generate(plan.seed, plan.duration, plan.processes);
     let callers = load::Callers::start(&fleet.ingress_addresses());
+    let quota_callers = load::QuotaCallers::start(&fleet.ingress_addresses());
     let version_monitor = invariants::VersionMonitor::start(fleet.admin_addresses());
     let crashing = tokio::spawn(load::send_crashing_requests(fleet.ingress_addresses()));
     fleet.inject(&faults).await;
@@ -54,6 +55,9 @@
     violations.extend(fleet.probe_quarantine().await);
     violations.extend(version_monitor.stop().await);
     let observations = callers.stop().await;
+    let runs = quota_callers.stop().await;
+    println!("seed {}: {} requests ran under the quota", plan.seed, runs.len());
+    violations.extend(invariants::check_quota(&runs));
     violations.extend(invariants::check_requests(&observations, &fleet.runs_by_tag()));
     violations.extend(fleet.shut_down().await);
     Ok(violations)
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -26,6 +26,60 @@
     pub response: caller::Response,
 }
 
+/// A request of the organisation with a quota that a backend server has answered. It ran between the
+/// two times.
+#[derive(Debug, Clone, Copy)]
+pub struct Run {
+    /// When the caller sent the request.
+    pub sent: time::Instant,
+    /// When the caller had received the response.
+    pub completed: time::Instant,
+}
+
+/// Running callers of the organisation with a quota, one for each ingress.
+#[derive(Debug)]
+pub struct QuotaCallers {
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+    tasks: task::JoinSet<Vec<Run>>,
+}
+
+impl QuotaCallers {
+    /// Starts the callers. Together they send several times the quota.
+    pub fn start(ingresses: &[net::SocketAddr]) -> Self {
+        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+        let mut tasks = task::JoinSet::new();
+        for ingress in ingresses {
+            tasks.spawn(run_quota_caller(*ingress, stop.clone()));
+        }
+        Self { stop, tasks }
+    }
+
+    /// Stops the callers and returns the requests that ran.
+    pub async fn stop(self) -> Vec<Run> {
+        self.stop.store(true, sync::atomic::Ordering::Release);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+async fn run_quota_caller(
+    ingress: net::SocketAddr,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) -> Vec<Run> {
+    let caller = caller::Caller::new(ingress);
+    let (host, path) = (fleet::HOST, fleet::QUOTA_PATH);
+    let key = Some(fleet::QUOTA_KEY.to_owned());
+    let request = caller::Request { host, path, key, ..caller::Request::default() };
+    let mut runs = Vec::new();
+    while !stop.load(sync::atomic::Ordering::Acquire) {
+        let sent = time::Instant::now();
+        if caller.send(&request).await.is_success() {
+            runs.push(Run { sent, completed: time::Instant::now() });
+        }
+        tokio::time::sleep(REQUEST_PAUSE).await;
+    }
+    runs
+}
+
 /// Number of callers for each ingress.
 const CALLERS_PER_INGRESS: usize = 3;
 /// Pause of a caller after each request.
