--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -31,6 +31,8 @@
     pub shared: sync::Arc<shared_state::SharedState<C>>,
     /// Recent policy records, for daemons whose policy is older.
     pub history: sync::Arc<history::History>,
+    /// Client for control messages to other daemons.
+    pub client: sync::Arc<control_client::ControlClient>,
     /// The fleet's shared secret.
     pub secret: String,
 }
@@ -38,7 +40,7 @@
 impl<C: clock::Clock> Clone for ControlServer<C> {
     fn clone(&self) -> Self {
         let (shared, history) = (self.shared.clone(), self.history.clone());
-        Self { shared, history, secret: self.secret.clone() }
+        Self { shared, history, client: self.client.clone(), secret: self.secret.clone() }
     }
 }
 
@@ -110,6 +112,24 @@
         self.authorise(&sender).then(|| self.shared.lend(&sender.daemon, &asks))
     }
 
+    async fn relay_lend(
+        self,
+        _: context::Context,
+        sender: control::Sender,
+        owner: net::SocketAddr,
+        asks: Vec<message::Ask>,
+    ) -> Option<Vec<message::Grant>> {
+        if !self.authorise(&sender) {
+            return None;
+        }
+        let is_member = self.shared.membership().all_records().any(|r| r.control == owner);
+        if !is_member {
+            return Some(Vec::new());
+        }
+        let lent = self.client.lend_for(sender.daemon, owner, asks).await;
+        Some(lent.unwrap_or_default())
+    }
+
     async fn catch_up(
         self,
         _: context::Context,
--- a/crates/lynxmast/src/request_trace.rs
+++ b/crates/lynxmast/src/request_trace.rs
@@ -122,11 +122,16 @@
         ("not-run", "doubtful") => {
             "every remaining upstream was suspected, and the request is not idempotent".to_owned()
         }
+        ("not-run", "calls-rejected") => {
+            "the calls that requests of its route make were being rejected: the called service is \
+             overloaded"
+                .to_owned()
+        }
         ("not-run", "limited") => {
             "the upstreams get as many requests per second as the limits allow that they name"
                 .to_owned()
         }
-        ("not-run", "rate-limited") if end.value("owner") == "no-response" => format!(
+        ("not-run", "quota-unavailable") => format!(
             "the owner of the quota of organisation '{}' did not respond in time",
             end.value("organisation")
         ),
@@ -146,6 +151,23 @@
         }
         ("not-run", "no-route") => "the active policy has no route for it".to_owned(),
         ("not-run", "no-policy") => "the daemon had not received any policy yet".to_owned(),
+        ("not-run", "unknown-key") => format!(
+            "its key was missing, or unknown in policy version {}; the daemon knew of no newer one",
+            end.value("policy")
+        ),
+        ("not-run", "policy-behind") if !end.value("newest").is_empty() => format!(
+            "its key was unknown in policy version {}, and the daemon could not get version {} in \
+             time",
+            end.value("policy"),
+            end.value("newest")
+        ),
+        ("not-run", "policy-behind") => {
+            "a sidecar did not get the policy version of the ingress in time".to_owned()
+        }
+        ("not-run", "forbidden") => format!(
+            "its organisation belongs to another team than the route in policy version {}",
+            end.value("policy")
+        ),
         ("may-have-run", "connection-lost") => {
             "the connection was lost after the request had been forwarded".to_owned()
         }
@@ -161,10 +183,17 @@
     if end.value("quarantined") == "true" {
         parts.push("it was not retried because it crashes upstreams".to_owned());
     } else if end.value("over_budget") == "true" {
-        parts.push("it was not retried because the retry budget was empty".to_owned());
+        parts.push(
+            "it was not retried because the retry budget was empty or kept for greater need"
+                .to_owned(),
+        );
     } else if outcome != "not-run" && attempts <= 1 {
         parts.push("it was not retried: it is not idempotent, or no time was left".to_owned());
     }
+    if end.value("call") == "true" {
+        let rank = end.value("rank");
+        parts.push(format!("it was taken for a call of a running request of rank {rank}"));
+    }
     let attempts = request_lines.iter().filter(|line| line.value("event") == "attempt");
     let not_run = attempts.filter(|line| line.value("outcome") == "not-run");
     let slowest = not_run.max_by_key(|line| line.number("took_ms"));
--- a/crates/lynxmast/src/request_trace/tests.rs
+++ b/crates/lynxmast/src/request_trace/tests.rs
@@ -50,6 +50,7 @@
 
 #[test_case("not-run", "wait-too-long", "overloaded"; "rejected under overload")]
 #[test_case("not-run", "shed", "rejected"; "shed")]
+#[test_case("not-run", "calls-rejected", "called service"; "parent that was not started")]
 #[test_case("not-run", "doubtful", "suspected"; "only suspected upstreams")]
 #[test_case("may-have-run", "connection-lost", "connection was lost"; "unknown outcome")]
 #[test_case("may-have-run", "stalled", "may-have-run stalled"; "reason without a description")]
@@ -63,12 +64,36 @@
     assert!(!trace.cause().contains("were spent at sidecar"), "{}", trace.cause());
 }
 
-#[test_case("responds", "organisation 'mailers' was over its quota of 40 requests/s and a burst of 60"; "over the quota")]
-#[test_case("no-response", "the owner of the quota of organisation 'mailers' did not respond"; "owner silent")]
-fn cause_names_the_quota(owner: &str, expected: &str) {
+/// Guards against an explanation that leaves out why a request was ordered as it was.
+#[test]
+fn cause_states_that_the_request_was_taken_for_a_call() {
+    let log = log("2026-02-17T04:11:44.100Z INFO event=request id=a1 outcome=not-run \
+                reason=queue-full attempts=0 call=true rank=2");
+    let trace = RequestTrace::collect("a1", &log).expect("the log has the request");
+    let cause = trace.cause();
+    assert!(cause.contains("taken for a call of a running request of rank 2"), "{cause}");
+}
+
+// Guards against rejections for a key of which operators cannot tell whether the daemon was behind.
+#[test_case("unknown-key", "policy=7 newest=7", "unknown in policy version 7"; "unknown key")]
+#[test_case("policy-behind", "policy=7 newest=9", "could not get version 9"; "newer version not fetched")]
+#[test_case("policy-behind", "attempts=1", "a sidecar did not get"; "sidecar behind")]
+#[test_case("forbidden", "policy=7 newest=7", "another team"; "other team")]
+fn cause_names_the_policy_version(reason: &str, fields: &str, expected: &str) {
+    let text = format!(
+        "2026-02-17T04:11:44.100Z INFO event=request id=a1 outcome=not-run reason={reason} {fields}"
+    );
+    let log = log(&text);
+    let trace = RequestTrace::collect("a1", &log).expect("the log has the request");
+    assert!(trace.cause().contains(expected), "{}", trace.cause());
+}
+
+#[test_case("rate-limited", "organisation 'mailers' was over its quota of 40 requests/s and a burst of 60"; "over the quota")]
+#[test_case("quota-unavailable", "the owner of the quota of organisation 'mailers' did not respond"; "owner silent")]
+fn cause_names_the_quota(reason: &str, expected: &str) {
     let text = format!(
         "2026-02-17T04:11:44.100Z INFO request rejected by ingress event=request id=a1 \
-         outcome=not-run reason=rate-limited organisation=mailers rate=40 burst=60 owner={owner} \
+         outcome=not-run reason={reason} organisation=mailers rate=40 burst=60 owner=responds \
          room_ms=300\n"
     );
     let log = log(&text);
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -1,5 +1,7 @@
 //! Control messages between daemons, over tarpc.
 
+use std::net;
+
 use lynxmast_state::ids;
 use lynxmast_state::membership;
 use lynxmast_state::policy::edit;
@@ -46,6 +48,13 @@
     /// Requests tokens of quotas that the daemon owns; returns `None` if the sender's secret is
     /// wrong. Quotas that the daemon does not own are missing in the response.
     async fn lend(sender: Sender, asks: Vec<message::Ask>) -> Option<Vec<message::Grant>>;
+    /// Passes on an ask to the owner of the quotas, for a daemon that cannot reach it; returns `None`
+    /// if the sender's secret is wrong, and no grants if the owner does not respond.
+    async fn relay_lend(
+        sender: Sender,
+        owner: net::SocketAddr,
+        asks: Vec<message::Ask>,
+    ) -> Option<Vec<message::Grant>>;
     /// Requests the policy records, starting at offset `from`; returns `None` if the sender's secret
     /// is wrong.
     async fn catch_up(sender: Sender, from: ids::Offset) -> Option<CatchUp>;
--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -148,11 +148,18 @@
         headers.remove(&self.key);
         let Some(organisation) = &self.organisation else { return };
         headers.remove(organisation);
-        if let Some(name) = name.and_then(|name| HeaderValue::from_str(name).ok()) {
+        // Names may contain characters outside ASCII, which headers carry as UTF-8.
+        if let Some(name) = name.and_then(|name| HeaderValue::from_bytes(name.as_bytes()).ok()) {
             headers.insert(organisation, name);
         }
     }
 
+    /// Returns whether the header of the key has a meaning in a policy without organisations too, since
+    /// its name is reserved for lynxmast.
+    pub fn is_key_reserved(&self) -> bool {
+        self.key.as_str().starts_with(header::PREFIX)
+    }
+
     /// Formats a duration in seconds for `retry-after`, rounded up to whole seconds unless callers
     /// accept fractions.
     ///
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -5,16 +5,17 @@
 use std::time;
 
 use lynxmast_testing::caller;
+use rand::Rng;
 use rand::seq::IndexedRandom;
 use tokio::task;
 
 use crate::fleet;
 
-/// Running callers.
+/// Running callers, each of which records a `T` for each request.
 #[derive(Debug)]
-pub struct Callers {
+pub struct Callers<T> {
     stop: sync::Arc<sync::atomic::AtomicBool>,
-    tasks: task::JoinSet<Vec<Observation>>,
+    tasks: task::JoinSet<Vec<T>>,
 }
 
 /// Response to a request of the soak, with the kind of the request.
@@ -36,28 +37,81 @@
     pub completed: time::Instant,
 }
 
-/// Running callers of the organisation with a quota, one for each ingress.
-#[derive(Debug)]
-pub struct QuotaCallers {
-    stop: sync::Arc<sync::atomic::AtomicBool>,
-    tasks: task::JoinSet<Vec<Run>>,
+/// Response to a request under a key.
+#[derive(Debug, Clone)]
+pub struct KeyedObservation {
+    /// Ingress that the request was sent to.
+    pub ingress: net::SocketAddr,
+    /// Edit that has introduced the key; the next one withdraws it.
+    pub edit: u64,
+    /// Time at which the request was sent.
+    pub started: time::Instant,
+    /// Time at which the response ended.
+    pub ended: time::Instant,
+    /// Response as seen by the caller.
+    pub response: caller::Response,
 }
 
-impl QuotaCallers {
-    /// Starts the callers. Together they send several times the quota.
+/// Number of earlier keys that callers use beside the newest one.
+const EARLIER_KEYS: u64 = 3;
+/// Number of callers for each ingress.
+const CALLERS_PER_INGRESS: usize = 3;
+/// Pause of a caller after each request.
+const REQUEST_PAUSE: time::Duration = time::Duration::from_millis(15);
+/// Time between two copies of a request that crashes backend servers.
+const COPY_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Number of requests to each ingress in a probe.
+const PROBE_REQUESTS: usize = 20;
+
+impl<T: Send + 'static> Callers<T> {
+    fn new() -> Self {
+        Self { stop: Default::default(), tasks: task::JoinSet::new() }
+    }
+
+    /// Stops the callers and returns what they recorded.
+    pub async fn stop(self) -> Vec<T> {
+        self.stop.store(true, sync::atomic::Ordering::Release);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+impl Callers<Observation> {
+    /// Starts three callers for each ingress. A caller reuses its connection until it fails.
     pub fn start(ingresses: &[net::SocketAddr]) -> Self {
-        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-        let mut tasks = task::JoinSet::new();
+        let mut callers = Self::new();
+        for (first_index, ingress) in
+            ingresses.iter().cycle().take(CALLERS_PER_INGRESS * ingresses.len()).enumerate()
+        {
+            callers.tasks.spawn(run_caller(*ingress, first_index, callers.stop.clone()));
+        }
+        callers
+    }
+}
+
+impl Callers<KeyedObservation> {
+    /// Starts one caller for each ingress, which sends requests under new and withdrawn keys; `edits`
+    /// is the number of the newest edit.
+    pub fn start_keyed(
+        ingresses: &[net::SocketAddr],
+        edits: &sync::Arc<sync::atomic::AtomicU64>,
+    ) -> Self {
+        let mut callers = Self::new();
         for ingress in ingresses {
-            tasks.spawn(run_quota_caller(*ingress, stop.clone()));
+            callers.tasks.spawn(run_keyed_caller(*ingress, edits.clone(), callers.stop.clone()));
         }
-        Self { stop, tasks }
+        callers
     }
+}
 
-    /// Stops the callers and returns the requests that ran.
-    pub async fn stop(self) -> Vec<Run> {
-        self.stop.store(true, sync::atomic::Ordering::Release);
-        self.tasks.join_all().await.into_iter().flatten().collect()
+impl Callers<Run> {
+    /// Starts one caller of the organisation with a quota for each ingress. Together they send several
+    /// times the quota, and record the requests that ran.
+    pub fn start_quota(ingresses: &[net::SocketAddr]) -> Self {
+        let mut callers = Self::new();
+        for ingress in ingresses {
+            callers.tasks.spawn(run_quota_caller(*ingress, callers.stop.clone()));
+        }
+        callers
     }
 }
 
@@ -80,33 +134,33 @@
     runs
 }
 
-/// Number of callers for each ingress.
-const CALLERS_PER_INGRESS: usize = 3;
-/// Pause of a caller after each request.
-const REQUEST_PAUSE: time::Duration = time::Duration::from_millis(15);
-/// Time between two copies of a request that crashes backend servers.
-const COPY_INTERVAL: time::Duration = time::Duration::from_millis(250);
-/// Number of requests to each ingress in a probe.
-const PROBE_REQUESTS: usize = 20;
-
-impl Callers {
-    /// Starts three callers for each ingress. A caller reuses its connection until it fails.
-    pub fn start(ingresses: &[net::SocketAddr]) -> Self {
-        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-        let mut tasks = task::JoinSet::new();
-        for (first_index, ingress) in
-            ingresses.iter().cycle().take(CALLERS_PER_INGRESS * ingresses.len()).enumerate()
-        {
-            tasks.spawn(run_caller(*ingress, first_index, stop.clone()));
-        }
-        Self { stop, tasks }
+async fn run_keyed_caller(
+    ingress: net::SocketAddr,
+    edits: sync::Arc<sync::atomic::AtomicU64>,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) -> Vec<KeyedObservation> {
+    let caller = caller::Caller::new(ingress);
+    let mut observations = Vec::new();
+    while !stop.load(sync::atomic::Ordering::Acquire) {
+        let newest = edits.load(sync::atomic::Ordering::Acquire);
+        let edit = rand::rng().random_range(newest.saturating_sub(EARLIER_KEYS)..=newest);
+        let started = time::Instant::now();
+        let response = caller.send(&keyed_request(edit)).await;
+        let ended = time::Instant::now();
+        observations.push(KeyedObservation { ingress, edit, started, ended, response });
+        tokio::time::sleep(REQUEST_PAUSE).await;
     }
+    observations
+}
 
-    /// Stops the callers and returns all responses.
-    pub async fn stop(self) -> Vec<Observation> {
-        self.stop.store(true, sync::atomic::Ordering::Release);
-        self.tasks.join_all().await.into_iter().flatten().collect()
-    }
+fn keyed_request(edit: u64) -> caller::Request {
+    let (host, path, key) = (fleet::HOST, fleet::KEYED_PATH, Some(fleet::key(edit)));
+    caller::Request { method: "POST", host, path, key, ..caller::Request::default() }
+}
+
+/// Sends one request under the key of an edit, on a new connection.
+pub async fn send_keyed_request(ingress: net::SocketAddr, edit: u64) -> caller::Response {
+    caller::Caller::new(ingress).send(&keyed_request(edit)).await
 }
 
 async fn run_caller(
--- a/crates/state/src/quota/owner.rs
+++ b/crates/state/src/quota/owner.rs
@@ -51,7 +51,7 @@
 /// Time after which tokens expire.
 pub const TOKEN_TTL: time::Duration = time::Duration::from_millis(500);
 /// Time after a start or a pause without loans, in which daemons that took over hear of this one.
-pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(2);
+pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
 /// Shortest pause after which another daemon may have taken over.
 const PAUSE_MIN: time::Duration = time::Duration::from_secs(4);
 /// Time for which the share stays at its minimum. Within it, daemons on the other side of a partition
--- a/crates/state/src/quota/spender.rs
+++ b/crates/state/src/quota/spender.rs
@@ -100,9 +100,9 @@
     rejected: u64,
 }
 
-/// Longest time for which a request waits for tokens. A round trip takes 3 to 8 ms between failure
-/// domains; a VM with a tenth of a core may be throttled for up to 90 ms of each 100 ms.
-pub const WAIT_MAX: time::Duration = time::Duration::from_millis(90);
+/// Longest time for which a request waits for tokens: two asks that are lost. An owner that responds
+/// does so within 3 to 8 ms, or 100 ms on a throttled VM, and then the request waits no longer.
+pub const WAIT_MAX: time::Duration = time::Duration::from_millis(600);
 /// Standard deviations by which the tokens asked for in advance are below the requests expected in
 /// their lifetime. Tokens that expire unspent are lost to the organisation; with none of these
 /// deviations, an organisation at 96 requests/s over 78 daemons lost a tenth of its quota.
@@ -110,7 +110,7 @@
 /// Largest number of tokens asked for in advance, in seconds at the organisation's rate.
 const ADVANCE_MAX_S: f64 = 0.25;
 /// Time without an ask after one that was lost.
-const LOST_BACKOFF: time::Duration = time::Duration::from_millis(250);
+const LOST_BACKOFF: time::Duration = time::Duration::from_millis(50);
 /// Time after which the shell gives up an ask without a response.
 pub const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Multiple of the mean time between requests without one after which demand has ended.
@@ -308,7 +308,8 @@
             return Decision::Admit;
         }
         let wait_until = arrived + WAIT_MAX;
-        let is_blocked = now < self.blocked_until;
+        // An owner that does not respond is no reason to reject at once: the next ask may be relayed.
+        let is_blocked = now < self.blocked_until && !self.is_unreachable;
         let is_late = wait_until <= now;
         if is_blocked || is_late {
             return self.reject(now);
--- a/crates/state/src/router/selection.rs
+++ b/crates/state/src/router/selection.rs
@@ -1,21 +1,24 @@
 //! Selection among the upstreams of one service by availability, reported failure probability and
 //! expected cost.
 
-use std::cmp;
 use std::time;
 
 use rand::Rng;
 
 use crate::router;
 
-/// Body bytes whose transfer into another failure domain costs as much as one second of latency.
-/// Traffic between domains is charged for, so a large upload waits longer for an upstream in the
-/// same domain.
-const CROSS_DOMAIN_BYTES_PER_SECOND: f64 = 128.0 * 1024.0;
 /// Cost of another failure domain as a fraction of the median latency.
 const CROSS_DOMAIN_COST_FRACTION: f64 = 0.3;
 /// Cost of another failure domain in seconds, in addition to the fraction of the median.
 const CROSS_DOMAIN_COST_S: f64 = 0.001;
+/// Factor by which the cost in the domain that the plan gives a request must exceed that in its own for
+/// the request to stay. An ingress knows the load of few upstreams at a time, and without a report an
+/// upstream that is full looks free.
+const LEAVING_COST_FACTOR: f64 = 1.0;
+/// Number of upstreams in the own failure domain that are compared.
+const OWN_CHOICES: usize = 4;
+/// Number of upstreams in other failure domains that are compared.
+const OTHER_CHOICES: usize = 3;
 /// Probability that a first attempt that may probe suspected upstreams does so, to detect a
 /// recovery.
 const PROBE_PROBABILITY: f64 = 0.2;
@@ -121,8 +124,10 @@
         rotated.copied().min_by_key(|&index| self.upstreams[index].outstanding)
     }
 
-    /// Returns the upstream with the lowest cost among two random ones in failure domain `domain`
-    /// and two in other domains.
+    /// Returns the upstream with the lowest cost among some random ones in failure domain `domain`
+    /// and some in other domains. The latter cost more by the latency and the bytes of the transfer,
+    /// except for the requests that are to leave the domain according to the service's plan; those
+    /// are compared with upstreams of the domain that the plan gives them.
     pub(super) fn lowest_cost(
         &self,
         usable: &[usize],
@@ -130,24 +135,33 @@
         criteria: &router::Criteria<'_>,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let now = criteria.now;
-        let (same_domain, other_domains): (Vec<usize>, Vec<usize>) =
+        let (mut same_domain, mut others): (Vec<usize>, Vec<usize>) =
             usable.iter().partition(|&&i| &*self.upstreams[i].candidate.domain == domain);
-        let median = self.median_latency(now);
-        let transfer_cost = criteria.body_size as f64 / CROSS_DOMAIN_BYTES_PER_SECOND;
-        let cross_domain_cost =
-            CROSS_DOMAIN_COST_FRACTION * median + CROSS_DOMAIN_COST_S + transfer_cost;
-        let mut best: Option<(f64, usize)> = None;
-        for (group, is_cross_domain) in [(same_domain, false), (other_domains, true)] {
-            for index in sample_two(&group, rng) {
-                let surcharge = if is_cross_domain { cross_domain_cost } else { 0.0 };
-                let cost = self.upstreams[index].cost(median, now) + surcharge;
-                if best.is_none_or(|(least, _)| cost < least) {
-                    best = Some((cost, index));
-                }
-            }
+        let target = self.plan.draw(criteria.class(), rng);
+        let is_target = |&index: &usize| Some(&self.upstreams[index].candidate.domain) == target;
+        let is_leaving = others.iter().any(is_target);
+        if is_leaving {
+            others.retain(is_target);
         }
-        best.map(|(_, index)| index)
+        let median = self.median_latency(criteria.now);
+        let own = self.cheapest(sample(&mut same_domain, OWN_CHOICES, rng), median, criteria.now);
+        let other = self.cheapest(sample(&mut others, OTHER_CHOICES, rng), median, criteria.now);
+        let (Some((own_cost, own_index)), Some((other_cost, other_index))) = (own, other) else {
+            return own.or(other).map(|(_, index)| index);
+        };
+        if is_leaving {
+            let stays = other_cost > own_cost * LEAVING_COST_FACTOR;
+            return Some(if stays { own_index } else { other_index });
+        }
+        let other_cost = other_cost + CROSS_DOMAIN_COST_FRACTION * median + CROSS_DOMAIN_COST_S;
+        let surcharge = transfer_surcharge(criteria, own_cost, other_cost);
+        Some(if other_cost + surcharge < own_cost { other_index } else { own_index })
+    }
+
+    /// Returns the lowest cost of the upstreams and the index of the one that has it.
+    fn cheapest(&self, indexes: &[usize], median: f64, now: time::Instant) -> Option<(f64, usize)> {
+        let costs = indexes.iter().map(|&index| (self.upstreams[index].cost(median, now), index));
+        costs.min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
     pub(super) fn median_latency(&self, now: time::Instant) -> f64 {
@@ -168,13 +182,22 @@
     criteria.floor.max(share).max(1)
 }
 
-fn sample_two(group: &[usize], rng: &mut impl Rng) -> impl Iterator<Item = usize> {
-    let length = group.len();
-    let first = (length > 0).then(|| rng.random_range(0..length.max(1)));
-    let second = first.filter(|_| length > 1).map(|first| {
-        let other = rng.random_range(0..length - 1);
-        if other < first { other } else { cmp::min(other + 1, length - 1) }
-    });
-    let picked = [first, second].map(|index| index.map(|i| group[i]));
-    picked.into_iter().flatten()
+/// Returns the cost in seconds of the bytes that another failure domain would send and receive. It is
+/// waived if only that domain can meet the request's objective: the price delays requests that can
+/// wait and makes none late.
+fn transfer_surcharge(criteria: &router::Criteria<'_>, own_cost: f64, other_cost: f64) -> f64 {
+    let objective = criteria.objective.map_or(f64::INFINITY, |left| left.as_secs_f64());
+    if own_cost > objective && other_cost <= objective {
+        return 0.0;
+    }
+    criteria.transfer_seconds()
+}
+
+/// Moves up to `count` random entries of the group to its front and returns them.
+fn sample<'a>(group: &'a mut [usize], count: usize, rng: &mut impl Rng) -> &'a [usize] {
+    let count = count.min(group.len());
+    for position in 0..count {
+        group.swap(position, rng.random_range(position..group.len()));
+    }
+    &group[..count]
 }
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,8 +1,9 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
 //! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `spender`, `quota_owner`, `traffic`,
-//! `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock is held across
-//! an await point. The admission state is private to the sidecar and never locked together with these.
+//! `response_sizes`, `quarantine`, `events`. A task that holds one lock acquires only later ones. No lock
+//! is held across an await point. `held_bytes` locks for single additions and is acquired last. The
+//! admission state is private to the sidecar and never locked together with these.
 
 use std::hash;
 use std::hash::Hash;
@@ -13,7 +14,9 @@
 
 use indexmap::IndexMap;
 
+use crate::byte_budget;
 use crate::clock;
+use crate::drain_time;
 use crate::event;
 use crate::ids;
 use crate::member;
@@ -27,6 +30,8 @@
 use crate::quota::message;
 use crate::quota::owner;
 use crate::quota::spender;
+use crate::response_hold;
+use crate::response_size;
 use crate::retry;
 use crate::router;
 use crate::startup;
@@ -39,6 +44,8 @@
     pub clock: C,
     /// Start of the daemon.
     pub startup: startup::Startup,
+    /// Budget of the bytes that the daemon holds in memory.
+    pub held_bytes: byte_budget::HeldBytes,
     /// Name of the daemon, for log lines.
     daemon: ids::DaemonName,
     policy: sync::RwLock<Policy>,
@@ -49,6 +56,7 @@
     spender: sync::Mutex<spender::Spender>,
     quota_owner: sync::Mutex<owner::Owner>,
     traffic: sync::Mutex<IndexMap<ids::ServiceName, Traffic>>,
+    response_sizes: sync::Mutex<response_size::ResponseSizes>,
     quarantine: sync::Mutex<quarantine::Quarantine>,
     events: sync::Mutex<event::Ring>,
     /// Generation of the membership that the router was last synchronised with.
@@ -79,6 +87,7 @@
             owner::Owner::new(bounds::Bounds::default(), own_record.incarnation, quota_start);
         Self {
             startup: startup::Startup::new(clock.now()),
+            held_bytes: byte_budget::HeldBytes::new(byte_budget::LIMIT_DEFAULT),
             clock,
             daemon: own_record.daemon.clone(),
             policy: Default::default(),
@@ -88,6 +97,7 @@
             spender: Default::default(),
             quota_owner: sync::Mutex::new(quota_owner),
             traffic: Default::default(),
+            response_sizes: Default::default(),
             quarantine: Default::default(),
             events: sync::Mutex::new(ring),
             router_generation: Default::default(),
@@ -120,14 +130,15 @@
     pub fn amend_policy(&self, change: impl FnOnce(&mut document::Document)) {
         let mut policy = write(&self.policy);
         change(&mut policy.reducer.document);
-        let compiled = self.compile(&policy.reducer);
+        let compiled = self.compile(&policy);
         policy.compiled = sync::Arc::new(compiled);
     }
 
-    fn compile(&self, reducer: &reducer::Reducer) -> compiled::CompiledPolicy {
+    fn compile(&self, policy: &Policy) -> compiled::CompiledPolicy {
+        let reducer = &policy.reducer;
         let mut hasher = hash::DefaultHasher::new();
         (&self.daemon, reducer.version).hash(&mut hasher);
-        compiled::CompiledPolicy::compile(reducer.version, &reducer.document, hasher.finish())
+        policy.compiled.recompile(reducer.version, &reducer.document, hasher.finish())
     }
 
     /// Changes the policy reducer and activates its document if the version increased.
@@ -145,7 +156,7 @@
         if !is_new {
             return;
         }
-        let compiled = self.compile(&policy.reducer);
+        let compiled = self.compile(&policy);
         policy.compiled = sync::Arc::new(compiled);
         let version = policy.reducer.version;
         drop(policy);
@@ -210,6 +221,11 @@
         grants
     }
 
+    /// Locks the expected sizes of responses.
+    pub fn response_sizes(&self) -> sync::MutexGuard<'_, response_size::ResponseSizes> {
+        lock(&self.response_sizes)
+    }
+
     /// Locks the requests that are suspected of crashing upstreams.
     pub fn quarantine(&self) -> sync::MutexGuard<'_, quarantine::Quarantine> {
         lock(&self.quarantine)
@@ -276,8 +292,12 @@
     pub budget: retry::Budget,
     /// Retries left that sidecars of the service have reported recently.
     pub retries_left: statistics::MovingAverage,
-    /// Estimate of the 95th percentile of the time to a response head, in seconds.
+    /// Estimate of the 95th percentile of the time until a response can be passed on, in seconds.
     pub latency_p95: statistics::Quantile,
+    /// Speed at which responses arrive.
+    pub speed: response_hold::Speed,
+    /// When callers that are rejected for lack of capacity are to come back.
+    pub drain_time: drain_time::DrainTime,
 }
 
 const LATENCY_QUANTILE: f64 = 0.95;
@@ -287,7 +307,8 @@
     fn default() -> Self {
         let latency_p95 = statistics::Quantile::new(LATENCY_QUANTILE);
         let retries_left = statistics::MovingAverage::new(RETRIES_HALF_LIFE);
-        Self { budget: retry::Budget::default(), retries_left, latency_p95 }
+        let (budget, speed, drain_time) = Default::default();
+        Self { budget, retries_left, latency_p95, speed, drain_time }
     }
 }
 
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -12,7 +12,9 @@
 use crate::body_error;
 use crate::cutoff;
 use crate::exchange;
+use crate::held_body;
 use crate::ingress;
+use crate::read_ahead_body;
 use crate::replay;
 use crate::stall_timeout;
 
@@ -34,6 +36,12 @@
     Empty,
     /// A complete body in memory.
     Full(Bytes),
+    /// A complete response that was held.
+    Held(held_body::HeldBody),
+    /// The beginning of a response that was held, and the rest, which is streamed.
+    Begun(held_body::HeldBody, Box<ResponseBody<C>>),
+    /// A response that is read ahead of its caller.
+    ReadAhead(read_ahead_body::ReadAheadBody),
     /// From the local sidecar.
     Local(exchange::SidecarBody<C>, ingress::OutstandingRequest<C>, cutoff::Cutoff),
     /// From another daemon's sidecar.
@@ -84,8 +92,9 @@
     }
 }
 
-/// Reports a stalled, truncated or endless response body as a failure of its upstream.
-fn report_broken_body<C: clock::Clock>(
+/// Counts the bytes of a response body, and reports one that is stalled, truncated or endless as a
+/// failure of its upstream.
+fn report_progress<C: clock::Clock>(
     polled: body_error::PolledFrame,
     outstanding: &mut ingress::OutstandingRequest<C>,
 ) -> body_error::PolledFrame {
@@ -93,6 +102,13 @@
     if matches!(polled, task::Poll::Ready(Some(Err(Stalled | Truncated | Endless)))) {
         outstanding.set_result(router::AttemptResult::Failed);
     }
+    match &polled {
+        task::Poll::Ready(Some(Ok(frame))) => {
+            outstanding.count_bytes(frame.data_ref().map_or(0, Bytes::len));
+        }
+        task::Poll::Ready(None) => outstanding.end_body(),
+        _ => {}
+    }
     polled
 }
 
@@ -111,13 +127,22 @@
                 let frame = (!bytes.is_empty()).then(|| Ok(body::Frame::data(bytes)));
                 task::Poll::Ready(frame)
             }
+            ResponseBody::Held(body) => pin::Pin::new(body).poll_frame(cx),
+            ResponseBody::ReadAhead(body) => pin::Pin::new(body).poll_frame(cx),
+            ResponseBody::Begun(body, _) if !body.is_end_stream() => {
+                pin::Pin::new(body).poll_frame(cx)
+            }
+            ResponseBody::Begun(_, rest) => {
+                *self = std::mem::replace(&mut **rest, ResponseBody::Empty);
+                self.poll_frame(cx)
+            }
             ResponseBody::Local(body, outstanding, cutoff) => {
                 let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
-                report_broken_body(polled, outstanding)
+                report_progress(polled, outstanding)
             }
             ResponseBody::Remote(body, outstanding, cutoff) => {
                 let polled = poll_before_cutoff(pin::Pin::new(body), cutoff, cx);
-                report_broken_body(polled, outstanding)
+                report_progress(polled, outstanding)
             }
         }
     }
@@ -126,6 +151,9 @@
         match self {
             ResponseBody::Empty => true,
             ResponseBody::Full(bytes) => bytes.is_empty(),
+            ResponseBody::Held(body) => body.is_end_stream(),
+            ResponseBody::ReadAhead(body) => body.is_end_stream(),
+            ResponseBody::Begun(body, rest) => body.is_end_stream() && rest.is_end_stream(),
             ResponseBody::Local(body, ..) => body.is_end_stream(),
             ResponseBody::Remote(body, ..) => body.is_end_stream(),
         }
@@ -135,6 +163,14 @@
         match self {
             ResponseBody::Empty => body::SizeHint::with_exact(0),
             ResponseBody::Full(bytes) => body::SizeHint::with_exact(bytes.len() as u64),
+            ResponseBody::Held(body) => body.size_hint(),
+            ResponseBody::ReadAhead(body) => body.size_hint(),
+            ResponseBody::Begun(body, rest) => {
+                let known = body.size_hint().exact().zip(rest.size_hint().exact());
+                known.map_or_else(Default::default, |(begun, rest)| {
+                    body::SizeHint::with_exact(begun + rest)
+                })
+            }
             ResponseBody::Local(body, ..) => body.size_hint(),
             ResponseBody::Remote(body, ..) => body.size_hint(),
         }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -1,8 +1,12 @@
 //! Ingress: accepts callers' requests, selects upstreams, retries failed attempts and responds.
 
 mod attempt;
+mod authentication;
+mod call;
+mod capacity;
 mod head;
 mod hedge;
+mod hold;
 mod outstanding;
 mod quarantine;
 mod retries;
@@ -16,6 +20,7 @@
 use hyper::body::Incoming;
 use lynxmast_protocol::header as names;
 use lynxmast_protocol::header_scheme;
+use lynxmast_state::byte_budget;
 use lynxmast_state::clock;
 use lynxmast_state::fingerprint;
 use lynxmast_state::ids;
@@ -24,6 +29,7 @@
 use lynxmast_state::policy::compiled;
 use lynxmast_state::progress;
 use lynxmast_state::quota::spender;
+use lynxmast_state::response_size;
 use lynxmast_state::retry;
 use lynxmast_state::router;
 use lynxmast_state::sampling;
@@ -50,6 +56,8 @@
     own_daemon: ids::DaemonName,
     identity: Identity,
     fingerprint_key: fingerprint::Key,
+    key_waits: authentication::SharedWaits,
+    calls: call::CallCount,
     /// Samples the successful requests that are logged.
     success_sampler: sampling::Sampler,
 }
@@ -80,6 +88,10 @@
     body: replay::ReplayBuffer,
     arrived: time::Instant,
     deadline: time::Instant,
+    /// Running request of which this one is probably a call.
+    parent: Option<call::Parent>,
+    /// Place among the requests that count as calls although their parents are not known.
+    call: Option<call::CallSlot>,
 }
 
 impl RequestContext {
@@ -123,6 +135,12 @@
         }
     }
 
+    /// Returns the key under which the sizes of the route's responses are learned.
+    fn response_key(&self) -> response_size::RouteKey {
+        let compiled::RouteMatch { route, service, .. } = &self.route_match;
+        response_size::route_key(&service.name, route)
+    }
+
     /// Returns the time left to meet the latency objective of the route, zero if it is missed;
     /// `None` if the route has no objective.
     fn objective_remaining(&self, now: time::Instant) -> Option<time::Duration> {
@@ -137,6 +155,8 @@
 struct AttemptOptions {
     /// Whether an earlier attempt reached a backend server.
     is_retry: bool,
+    /// Whether it is known that no earlier attempt has run the request.
+    not_run: bool,
     /// Risk tolerance, which limits the failure probability of the upstream.
     risk: outlier::RiskTolerance,
     /// Whether another attempt may follow if this one is lost.
@@ -161,7 +181,17 @@
         let peers = peers::Peers::default();
         let success_sampler = sampling::Sampler::new(telemetry::SUCCESSES_SKIPPED);
         let fingerprint_key = fingerprint::Key::from_secret(&identity.secret);
-        Self { shared, sidecar, peers, own_daemon, identity, fingerprint_key, success_sampler }
+        Self {
+            shared,
+            sidecar,
+            peers,
+            own_daemon,
+            identity,
+            fingerprint_key,
+            key_waits: Default::default(),
+            calls: Default::default(),
+            success_sampler,
+        }
     }
 
     /// Serves one caller's request. Rejections and failures are returned as HTTP responses too.
@@ -173,18 +203,21 @@
         let id = request.headers().get(&scheme.exchange_id).cloned();
         let arrived = self.shared.now();
         self.await_policy(&request, arrived).await;
-        let context = match self.accept(request, arrived) {
+        let context = match self.accept(request, arrived).await {
             Ok(context) => context,
             Err(rejection) => {
                 let outcome = outcome::Outcome::NotRun(rejection);
-                telemetry::log_rejection(id.as_ref(), outcome);
+                self.log_rejection(id.as_ref(), rejection);
                 telemetry::count_outcome("", outcome);
                 return error_response::for_outcome(outcome, None, scheme);
             }
         };
         if let Err(refusal) = self.check_quota(&context.route_match).await {
-            let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
-            telemetry::log_over_quota(id.as_ref(), &context.route_match, refusal);
+            let outcome = outcome::Outcome::NotRun(match refusal.is_unreachable {
+                true => outcome::Rejection::QuotaUnavailable,
+                false => outcome::Rejection::RateLimited,
+            });
+            telemetry::log_over_quota(id.as_ref(), &context.route_match, refusal, outcome);
             telemetry::count_outcome("", outcome);
             return error_response::for_outcome(outcome, Some(refusal.room), scheme);
         }
@@ -193,6 +226,7 @@
         let result = self.serve(&context, &mut progress).await;
         self.log_request(&context, &progress, &result);
         self.record_duration(&context, &result);
+        self.record_call_end(&context, &result);
         match result {
             Ok(mut response) => {
                 let outcome = outcome::Outcome::Answered;
@@ -208,10 +242,16 @@
         }
     }
 
-    /// Returns when a caller that was rejected for the limits of upstreams may come back.
-    fn next_room(&self, service: &str, end: retry::AttemptEnd) -> Option<time::Duration> {
-        if end != retry::AttemptEnd::NotRun(outcome::Rejection::Limited) {
-            return None;
+    /// Returns when a caller that was rejected for the limits of upstreams, or for lack of capacity,
+    /// may come back.
+    fn next_room(
+        &self,
+        service: &ids::ServiceName,
+        end: retry::AttemptEnd,
+    ) -> Option<time::Duration> {
+        let retry::AttemptEnd::NotRun(rejection) = end else { return None };
+        if rejection != outcome::Rejection::Limited {
+            return self.capacity_due(service, rejection);
         }
         let room = self.shared.router().next_room(service, self.shared.now());
         room.map(|wait| wait.max(RETRY_AFTER_MIN))
@@ -226,26 +266,22 @@
 
     /// Validates, routes and authorises a request, applies the size limit, and prepares the
     /// head for forwarding.
-    fn accept(
+    async fn accept(
         &self,
         request: http::Request<incoming_body::IncomingBody>,
         arrived: time::Instant,
     ) -> Result<RequestContext, outcome::Rejection> {
         let (mut head, incoming) = request.into_parts();
         let scheme = &self.identity.header_scheme;
-        if !self.shared.is_current() {
-            return Err(outcome::Rejection::NoPolicy);
-        }
-        let policy = self.shared.policy();
-        let has_organisations = policy.has_organisations();
-        let parsed = head::RequestHead::parse(&head, scheme, has_organisations)?;
-        let key = parsed.key.as_deref();
-        let route_match =
-            policy.match_request(&parsed.host, &parsed.path, head.method.as_str(), key)?;
+        let authentication::Authenticated { policy, parsed, route_match } =
+            self.authenticate(&head, arrived).await?;
         let body_size = content_length(&head.headers).unwrap_or(0);
         if body_size > policy.limits.body_size {
             return Err(outcome::Rejection::BodyTooLarge);
         }
+        if !self.shared.held_bytes.with(|budget| budget.admits_request(body_size)) {
+            return Err(outcome::Rejection::HeldBytes);
+        }
         let timeout = parsed
             .timeout
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
@@ -254,7 +290,7 @@
         scheme.sanitise(&mut head.headers, &self.identity.service);
         hop::strip_internal_headers(&mut head.headers);
         hop::strip_hop_by_hop_headers(&mut head.headers);
-        if has_organisations {
+        if policy.has_organisations() {
             let name = route_match.has_organisation().then_some(&*route_match.organisation);
             scheme.write_organisation(&mut head.headers, name);
         }
@@ -267,9 +303,15 @@
             body_size,
         });
         let stall = route_match.service.stall;
-        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key);
+        let held = self.shared.held_bytes.empty(byte_budget::Kind::Replay);
+        let body = replay::ReplayBuffer::new(incoming, stall, self.fingerprint_key, held);
         let policy_version = policy.version;
         let deadline = arrived + timeout;
+        let parent = self.find_parent(&parsed, &route_match, arrived);
+        let call = match &parent {
+            Some(_) => None,
+            None => self.find_call(&parsed, &policy, &route_match),
+        };
         Ok(RequestContext {
             route_match,
             policy_version,
@@ -280,6 +322,8 @@
             body,
             arrived,
             deadline,
+            parent,
+            call,
         })
     }
 
@@ -434,7 +478,8 @@
     ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
         let risk = context.risk_tolerance(progress, self.may_probe(context));
         let may_retry = context.has_attempt_after_next(progress) && context.body.is_replayable();
-        let options = AttemptOptions { is_retry: progress.attempts > 0, risk, may_retry };
+        let (is_retry, not_run) = (progress.attempts > 0, progress.may_have_run.is_none());
+        let options = AttemptOptions { is_retry, not_run, risk, may_retry };
         let mut primary = std::pin::pin!(self.try_upstream(context, first, options));
         let Some(hedge_delay) = self.hedge_delay(context) else { return primary.await };
         if let Ok(result) = tokio::time::timeout(hedge_delay, &mut primary).await {
@@ -442,7 +487,7 @@
         }
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge_options = AttemptOptions { is_retry: true, risk, may_retry };
+        let hedge_options = AttemptOptions { is_retry: true, not_run: false, risk, may_retry };
         let hedge = self.try_upstream(context, second, hedge_options);
         let is_success = |response: &http::Response<_>| !response.status().is_server_error();
         let outcome = hedge::first_success(primary, hedge, is_success).await;
@@ -461,6 +506,8 @@
             return Err(outcome::Rejection::NoUpstream);
         }
         let tried: Vec<_> = progress.tried().iter().copied().collect();
+        let now = self.shared.now();
+        let response_size = self.shared.response_sizes().expected(context.response_key());
         let criteria = router::Criteria {
             service: &context.route_match.service.name,
             floor: context.route_match.service.floor,
@@ -468,9 +515,11 @@
             may_probe: context.has_attempt_after_next(progress) && self.may_probe(context),
             use_avoided: progress.found_unavailable(),
             body_size: context.body_size,
-            response_size: 0,
+            response_size,
+            transfer_cost: context.route_match.service.transfer_cost_per_byte(),
+            objective: context.objective_remaining(now),
             tried: &tried,
-            now: self.shared.now(),
+            now,
         };
         let mut router = self.shared.router();
         let mut picked = router.pick(&criteria, &mut rand::rng());
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -2,11 +2,8 @@
 
 use std::time;
 
-use bytes::Bytes;
 use http::HeaderValue;
-use http::header;
 use http_body::Body;
-use http_body_util::BodyExt;
 use hyper::body as hyper_body;
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header as names;
@@ -16,7 +13,6 @@
 use lynxmast_state::router;
 
 use crate::body;
-use crate::body_error;
 use crate::cutoff;
 use crate::hop;
 use crate::ingress;
@@ -25,9 +21,6 @@
 
 type ResponseResult<C> = Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd>;
 
-/// Size in bytes up to which a response is buffered completely before it is passed on, so that a
-/// truncated response can still be retried or reported.
-const BUFFERED_SIZE_MAX: u64 = 64 * 1024;
 /// Time after the deadline for which the ingress still waits for the sidecar's report.
 const REPORT_GRACE: time::Duration = time::Duration::from_millis(20);
 
@@ -42,16 +35,17 @@
         let started = self.shared.now();
         let envelope = envelope::Envelope {
             upstream: outstanding.candidate.id.clone(),
-            organisation: context.route_match.organisation.clone(),
+            organisation: context.charged_organisation().clone(),
             time_left: context.deadline.saturating_duration_since(started),
             policy: context.policy_version,
             may_resend: context.may_resend(),
             is_retry: options.is_retry,
+            not_run: options.is_retry && options.not_run,
             retry_probability: self.retry_probability(&context.route_match.service),
             risk: options.risk,
-            rank: context.route_match.rank,
-            objective: context.objective_remaining(started),
-            is_call: false,
+            rank: context.rank(),
+            objective: context.objective_left(started),
+            is_call: context.is_call(),
         };
         let response = if outstanding.candidate.daemon == self.own_daemon {
             self.send_to_local_sidecar(context, &envelope, &mut outstanding).await
@@ -63,12 +57,19 @@
             Err(end) => return Err(self.attribute_to_caller(context, end)),
         };
         self.record_response(context, response.status());
+        if !response.status().is_server_error() {
+            outstanding.learn_size(context.response_key(), response.body().exact_size());
+        }
+        let response = track(response, outstanding, context.deadline);
+        let held = self.hold_response(context, response).await;
+        let response = held.map_err(retry::AttemptEnd::MayHaveRun)?;
+        // Includes the time for which the response was held: every response that is held for longer
+        // than the usual time to a head would be hedged otherwise.
         let elapsed = self.shared.now().saturating_duration_since(started);
         let service = &context.route_match.service.name;
         self.shared
             .with_traffic(service, |traffic| traffic.latency_p95.record(elapsed.as_secs_f64()));
-        let result = buffer_small(track(response, outstanding, context.deadline)).await;
-        result.map_err(retry::AttemptEnd::MayHaveRun)
+        Ok(response)
     }
 
     async fn send_to_local_sidecar(
@@ -143,6 +144,7 @@
     ) {
         let now = self.shared.now();
         let id = &outstanding.candidate.id;
+        self.record_capacity(&id.service, report, now);
         if let Some(load) = report.load {
             let mut router = self.shared.router();
             router.record_load(id, load, now);
@@ -218,6 +220,16 @@
     Remote(stall_timeout::StallTimeoutBody),
 }
 
+impl<C: clock::Clock> UntrackedBody<C> {
+    /// Returns the size of the body in bytes; `None` if it is not known in advance.
+    fn exact_size(&self) -> Option<u64> {
+        match self {
+            UntrackedBody::Local(body) => body.size_hint().exact(),
+            UntrackedBody::Remote(body) => body.size_hint().exact(),
+        }
+    }
+}
+
 fn build_request(context: &ingress::RequestContext) -> http::Request<crate::replay::AttemptBody> {
     let mut request = http::Request::new(context.body.attempt());
     *request.method_mut() = context.head.method.clone();
@@ -248,25 +260,3 @@
         }
     })
 }
-
-/// Buffers a small response completely; a large one, or one of unknown size, is streamed.
-async fn buffer_small<C: clock::Clock>(
-    response: http::Response<body::ResponseBody<C>>,
-) -> Result<http::Response<body::ResponseBody<C>>, outcome::Failure> {
-    if response.body().is_end_stream() {
-        return Ok(response.map(|_| body::ResponseBody::Empty));
-    }
-    let is_small =
-        response.body().size_hint().exact().is_some_and(|size| size <= BUFFERED_SIZE_MAX);
-    let has_trailers = response.headers().contains_key(header::TRAILER);
-    if !is_small || has_trailers {
-        return Ok(response);
-    }
-    let (parts, body) = response.into_parts();
-    let bytes: Bytes = match body.collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(body_error::BodyError::Stalled) => return Err(outcome::Failure::Stalled),
-        Err(_) => return Err(outcome::Failure::Truncated),
-    };
-    Ok(http::Response::from_parts(parts, body::ResponseBody::Full(bytes)))
-}
--- /dev/null
+++ b/crates/transport/src/ingress/call.rs
@@ -0,0 +1,127 @@
+//! Calls that the local backend server makes while it runs requests.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use lynxmast_state::clock;
+use lynxmast_state::ids;
+use lynxmast_state::parent_admission;
+use lynxmast_state::policy::compiled;
+use lynxmast_state::retry;
+use lynxmast_state::running;
+
+use crate::ingress;
+use crate::ingress::head;
+
+/// Parent of a call.
+#[derive(Debug)]
+pub struct Parent {
+    running: running::Running,
+    held_back: parent_admission::HeldBack,
+}
+
+impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Returns whether a request is probably a call of a running request although it expires with
+    /// none: in a policy with organisations, callers have keys and backend servers have none. The
+    /// calls that are under way at a time are limited to the number of requests that may have made
+    /// them, so that callers of public routes gain little by being mistaken for a backend server.
+    pub(super) fn find_call(
+        &self,
+        parsed: &head::RequestHead,
+        policy: &compiled::CompiledPolicy,
+        route_match: &compiled::RouteMatch,
+    ) -> Option<CallSlot> {
+        if !policy.has_organisations() || parsed.key.is_some() {
+            return None;
+        }
+        let running = self.sidecar.running_elsewhere(&route_match.service.name);
+        CallSlot::take(&self.calls, running)
+    }
+
+    /// Returns the running request of which a request is probably a call: it has no key and expires
+    /// together with that one. The timeout counts as the sender stated it, since a route may have a
+    /// shorter deadline.
+    pub(super) fn find_parent(
+        &self,
+        parsed: &head::RequestHead,
+        route_match: &compiled::RouteMatch,
+        arrived: time::Instant,
+    ) -> Option<Parent> {
+        let timeout = parsed.timeout.filter(|_| parsed.key.is_none())?;
+        let deadline = arrived.checked_add(timeout)?;
+        let service = &route_match.service.name;
+        let running = self.sidecar.find_parent(service, deadline)?;
+        metrics::counter!("lynxmast_calls_total", "service" => service.to_string()).increment(1);
+        let held_back = self.sidecar.record_call(&running, service);
+        Some(Parent { running, held_back })
+    }
+
+    /// Records the end of a request that is a call, and whether capacity was missing for it.
+    pub(super) fn record_call_end<B>(
+        &self,
+        context: &ingress::RequestContext,
+        result: &Result<http::Response<B>, retry::AttemptEnd>,
+    ) {
+        let Some(parent) = &context.parent else { return };
+        let is_rejected = matches!(
+            result,
+            Err(retry::AttemptEnd::NotRun(rejection)) if rejection.shows_missing_capacity()
+        );
+        let service = &context.route_match.service.name;
+        self.sidecar.record_call_end(service, parent.held_back, is_rejected);
+    }
+}
+
+/// Number of requests under way that count as calls, shared between the requests of an ingress.
+pub type CallCount = sync::Arc<atomic::AtomicUsize>;
+
+/// Place of a request among those that count as calls; given up when it is dropped.
+#[derive(Debug)]
+pub struct CallSlot(CallCount);
+
+impl CallSlot {
+    /// Takes a place if fewer than `limit` are taken.
+    fn take(count: &CallCount, limit: usize) -> Option<Self> {
+        let increment = |taken: usize| (taken < limit).then_some(taken + 1);
+        let ordering = atomic::Ordering::Relaxed;
+        count.fetch_update(ordering, ordering, increment).ok()?;
+        Some(Self(count.clone()))
+    }
+}
+
+impl Drop for CallSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl ingress::RequestContext {
+    /// Returns whether the request is probably a call of a running one.
+    pub(super) fn is_call(&self) -> bool {
+        self.parent.is_some() || self.call.is_some()
+    }
+
+    /// Returns the organisation whose share of the slots the request uses: for a call, that of its
+    /// parent.
+    pub(super) fn charged_organisation(&self) -> &ids::OrganisationName {
+        let own = &self.route_match.organisation;
+        self.parent.as_ref().map_or(own, |parent| &parent.running.organisation)
+    }
+
+    /// Returns the rank of the request: for a call, that of its parent.
+    pub(super) fn rank(&self) -> u32 {
+        self.parent.as_ref().map_or(self.route_match.rank, |parent| parent.running.rank)
+    }
+
+    /// Returns the time left until the objective: for a call, that of its parent. Zero once it is
+    /// missed, `None` without an objective.
+    pub(super) fn objective_left(&self, now: time::Instant) -> Option<time::Duration> {
+        match &self.parent {
+            Some(parent) => {
+                parent.running.objective.map(|until| until.saturating_duration_since(now))
+            }
+            None => self.objective_remaining(now),
+        }
+    }
+}
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -83,12 +83,33 @@
             asked = progress.contacted(),
             over_budget = progress.over_budget,
             quarantined = progress.is_quarantined,
+            call = context.is_call(),
+            rank = context.rank(),
             took_ms = now.saturating_duration_since(context.arrived).as_millis() as u64,
             left_ms = context.deadline.saturating_duration_since(now).as_millis() as u64;
             "request failed"
         );
     }
 
+    /// Logs a request that the ingress rejects before it is routed, with the policy version by which
+    /// it did, and the newest one that it knows of.
+    pub(super) fn log_rejection(
+        &self,
+        id: Option<&http::HeaderValue>,
+        rejection: outcome::Rejection,
+    ) {
+        let outcome = outcome::Outcome::NotRun(rejection);
+        log::info!(
+            event = "request",
+            id = id_text(id),
+            outcome = outcome.as_str(),
+            reason = outcome.reason(),
+            policy = self.shared.policy().version,
+            newest = self.shared.membership().newest_policy(self.shared.now());
+            "request rejected by ingress"
+        );
+    }
+
     /// Logs a failed attempt.
     pub(super) fn log_attempt<B>(
         &self,
@@ -137,24 +158,13 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
-/// Logs a request that the ingress rejects before it is routed.
-pub fn log_rejection(id: Option<&http::HeaderValue>, outcome: outcome::Outcome) {
-    log::info!(
-        event = "request",
-        id = id_text(id),
-        outcome = outcome.as_str(),
-        reason = outcome.reason();
-        "request rejected by ingress"
-    );
-}
-
 /// Logs a request that was rejected under the quota of its organisation.
 pub fn log_over_quota(
     id: Option<&http::HeaderValue>,
     route_match: &compiled::RouteMatch,
     refusal: spender::Refusal,
+    outcome: outcome::Outcome,
 ) {
-    let outcome = outcome::Outcome::NotRun(outcome::Rejection::RateLimited);
     let quota = route_match.quota;
     log::info!(
         event = "request",
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! does not respond and the ingress allows it to be resent. A request that the sidecar rejects has not been forwarded.
 
 mod announcements;
+mod calls;
 mod departed;
 mod forwarding;
 
@@ -22,9 +23,11 @@
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
+use lynxmast_state::parent_admission;
 use lynxmast_state::policy::service;
 use lynxmast_state::priority;
 use lynxmast_state::retry;
+use lynxmast_state::running;
 use lynxmast_state::shared_state;
 use lynxmast_state::upstream_budget;
 
@@ -56,6 +59,10 @@
     /// server to a dependency, made while serving a request; the backend server then responds with
     /// an error, which is no evidence that it is failing itself.
     last_call_failure: sync::Mutex<Option<time::Instant>>,
+    /// Calls of the local backend servers, and which requests are not started as theirs would fail.
+    parents: sync::Mutex<parent_admission::ParentAdmission>,
+    /// When a request was last not started for its calls.
+    last_held_back: sync::Mutex<Option<time::Instant>>,
     shutdown_announced: atomic::AtomicBool,
     /// Whether new requests are rejected.
     closing: atomic::AtomicBool,
@@ -124,6 +131,8 @@
             heartbeat_interval: options.heartbeat_interval,
             departed: Default::default(),
             last_call_failure: Default::default(),
+            parents: Default::default(),
+            last_held_back: Default::default(),
             shutdown_announced: Default::default(),
             closing: Default::default(),
             exchange_counter: atomic::AtomicU64::new(1),
@@ -181,7 +190,8 @@
     ) -> Result<http::Response<exchange::SidecarBody<C>>, retry::AttemptEnd> {
         let now = self.shared.now();
         let deadline = now + envelope.time_left;
-        let (slot, stall) = self.admit(envelope, upstream, now, deadline).await?;
+        let route = self.route_key(&request);
+        let (slot, stall) = self.admit(envelope, upstream, route, now, deadline).await?;
         let connection = upstream.pool.acquire().await.map_err(retry::AttemptEnd::NotRun)?;
         let started = self.shared.now();
         let time_left = deadline.saturating_duration_since(started);
@@ -217,6 +227,10 @@
         connection.apply_keep_alive(response.headers());
         if let Some(rejection) = rejection {
             recorder.record_end(retry::AttemptEnd::NotRun(rejection));
+            slot.mark_not_run();
+            if rejection == outcome::Rejection::Shed {
+                upstream.record_rejection(&slot, true);
+            }
             if rejection == outcome::Rejection::Misdirected {
                 upstream.revoke_lease(instance.as_ref());
             }
@@ -229,6 +243,7 @@
             exchange.discard();
             return Err(retry::AttemptEnd::NotRun(rejection));
         }
+        upstream.record_rejection(&slot, false);
         let is_error = response.status().is_server_error();
         observed.dependency_failed = is_error && self.may_be_dependency_error(self.shared.now());
         if observed.dependency_failed {
@@ -312,6 +327,7 @@
         &self,
         envelope: &envelope::Envelope,
         upstream: &sync::Arc<upstream::Upstream<C>>,
+        route: Option<parent_admission::RouteKey>,
         now: time::Instant,
         deadline: time::Instant,
     ) -> Result<(upstream::Slot<C>, time::Duration), retry::AttemptEnd> {
@@ -335,9 +351,21 @@
         if !upstream.allows(envelope.risk, now) {
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::Suspected));
         }
+        if !self.may_start(envelope, route, now) {
+            return Err(retry::AttemptEnd::NotRun(outcome::Rejection::CallsRejected));
+        }
         let budget = self.fleet_budget(service);
         let withdrawn = budget.filter(|_| envelope.is_retry);
-        if withdrawn.is_some_and(|budget| !upstream.withdraw_retry(&budget, now)) {
+        if let Some(budget) = withdrawn
+            && let need = calls::retry_need(envelope, &priority, upstream, now)
+            && !upstream.withdraw_retry(&budget, &need, now)
+        {
+            metrics::counter!(
+                "lynxmast_retries_denied_total",
+                "service" => service.name.to_string(),
+                "call" => if need.is_call { "true" } else { "false" }
+            )
+            .increment(1);
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget));
         }
         let slot = upstream.admit(&arrival, now).await.map_err(|rejection| {
@@ -358,7 +386,11 @@
                 upstream::RequestKind::NotRetryable
             }
         };
-        let slot = slot.with_kind(kind);
+        let organisation = envelope.organisation.clone();
+        let rank = envelope.rank;
+        let running = running::Running { deadline, organisation, rank, objective, route };
+        self.record_start(route);
+        let slot = slot.with_kind(kind).with_running(running);
         Ok((slot, service.stall))
     }
 
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -8,11 +8,14 @@
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::concurrency_limit;
 use lynxmast_state::ids;
 use lynxmast_state::load;
 use lynxmast_state::outcome;
 use lynxmast_state::outlier;
 use lynxmast_state::request_limit;
+use lynxmast_state::retry_need;
+use lynxmast_state::running;
 use lynxmast_state::upstream_budget;
 use tokio::sync::oneshot;
 
@@ -42,6 +45,10 @@
     retryable: atomic::AtomicU32,
     /// Requests in flight that have not been counted as overdue.
     pending: sync::Mutex<PendingRequests>,
+    /// Why the backend server rejects requests, as logged last.
+    rejection_cause: sync::Mutex<concurrency_limit::Cause>,
+    /// Requests that hold a slot.
+    running: sync::Mutex<running::RunningRequests>,
     /// Last check whether the backend server still runs.
     liveness: tokio::sync::Mutex<Option<LivenessCheck>>,
     /// Incarnation that was last found to have crashed; 0 if none was.
@@ -99,8 +106,12 @@
     upstream: sync::Arc<Upstream<C>>,
     class: admission::ShareClass,
     acquired: time::Instant,
+    /// Slots in use when this one was acquired, including it.
+    in_use: u32,
     forwarded: atomic::AtomicBool,
     kind: RequestKind,
+    /// Number among the running requests of the upstream.
+    running: Option<running::Number>,
 }
 
 /// Whether a request may be forwarded to a backend server more than once, or has been.
@@ -137,6 +148,8 @@
             retries: Default::default(),
             retryable: Default::default(),
             pending: Default::default(),
+            rejection_cause: Default::default(),
+            running: Default::default(),
             liveness: Default::default(),
             crashed: Default::default(),
             last_response,
@@ -154,9 +167,31 @@
         self.retryable.load(atomic::Ordering::Acquire)
     }
 
-    /// Takes a retry from the upstream's part of the `fleet` budget. Returns `false` if none is left.
-    pub fn withdraw_retry(&self, fleet: &upstream_budget::FleetBudget, now: time::Instant) -> bool {
-        lock(&self.budget).withdraw(fleet, now)
+    /// Takes a retry from the upstream's part of the `fleet` budget. Returns `false` if none is left
+    /// besides those reserved for requests in greater need.
+    pub fn withdraw_retry(
+        &self,
+        fleet: &upstream_budget::FleetBudget,
+        need: &retry_need::RetryNeed,
+        now: time::Instant,
+    ) -> bool {
+        lock(&self.budget).withdraw(fleet, need, now)
+    }
+
+    /// Returns the running request that expires when a call does, with the difference of the two
+    /// deadlines; `None` if there is none.
+    pub fn find_parent(
+        &self,
+        deadline: time::Instant,
+    ) -> Option<(time::Duration, running::Running)> {
+        let running = lock(&self.running);
+        let parent = running.find_parent(deadline)?;
+        Some((running::distance(parent.deadline, deadline), parent.clone()))
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> usize {
+        lock(&self.running).len()
     }
 
     /// Returns a retry that was not forwarded to the budget.
@@ -262,6 +297,32 @@
         }
     }
 
+    /// Records a response to the request that holds `slot`, and whether it states that the backend
+    /// server did not run the request. Logs a change of the reason why it rejects requests.
+    pub fn record_rejection(&self, slot: &Slot<C>, is_rejected: bool) {
+        let now = self.clock.now();
+        let mut admission = lock(&self.admission);
+        admission.record_response(is_rejected, slot.in_use, slot.acquired, now);
+        let (cause, rate) = (admission.rejection_cause(now), admission.rejection_rate());
+        let slots = admission.load(now).slots;
+        drop(admission);
+        if std::mem::replace(&mut *lock(&self.rejection_cause), cause) != cause {
+            log::info!(
+                event = "upstream-rejects",
+                upstream:% = self.id,
+                cause = cause.as_str(),
+                rate,
+                slots;
+                "reason for rejections of upstream changed"
+            );
+        }
+    }
+
+    /// Returns the fraction of recent requests that the backend server rejected.
+    pub fn rejection_rate(&self) -> f64 {
+        lock(&self.admission).rejection_rate()
+    }
+
     /// Records that a request is forwarded, and returns the number that identifies it.
     pub fn start_request(&self) -> u64 {
         let mut pending = lock(&self.pending);
@@ -527,8 +588,10 @@
             upstream: self.clone(),
             class,
             acquired,
+            in_use: lock(&self.admission).load(acquired).in_use,
             forwarded: Default::default(),
             kind: RequestKind::NotRetryable,
+            running: None,
         }
     }
 }
@@ -548,6 +611,12 @@
         self
     }
 
+    /// Makes the request that holds the slot known as one that may make calls.
+    pub fn with_running(mut self, request: running::Running) -> Self {
+        self.running = Some(lock(&self.upstream.running).start(request));
+        self
+    }
+
     /// Returns the counters that include the request.
     fn counters(&self) -> impl Iterator<Item = &atomic::AtomicU32> {
         let retryable =
@@ -565,6 +634,11 @@
     pub fn mark_forwarded(&self) {
         self.forwarded.store(true, atomic::Ordering::Release);
     }
+
+    /// Records that the backend server did not run the request, whose time is then no service time.
+    pub fn mark_not_run(&self) {
+        self.forwarded.store(false, atomic::Ordering::Release);
+    }
 }
 
 impl<C: clock::Clock> Drop for Slot<C> {
@@ -572,6 +646,9 @@
         for counter in self.counters() {
             counter.fetch_sub(1, atomic::Ordering::AcqRel);
         }
+        if let Some(number) = self.running {
+            lock(&self.upstream.running).end(number);
+        }
         let now = self.upstream.clock.now();
         let elapsed = now.saturating_duration_since(self.acquired);
         let elapsed = self.forwarded.load(atomic::Ordering::Acquire).then_some(elapsed);
