--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use lynxmast_protocol::admin;
+use lynxmast_state::quota::bounds;
 use lynxmast_transport::client;
 
 use crate::fleet;
@@ -55,6 +56,21 @@
     violations
 }
 
+/// Returns a violation if more requests ran within a window than the quota allows. A request whose
+/// whole time from sending to the response is in the window ran in it.
+pub fn check_quota(runs: &[load::Run]) -> Vec<String> {
+    let bounds = bounds::Bounds::default();
+    let allowed = bounds.runs_max(&fleet::QUOTA);
+    let within = |start: time::Instant| {
+        let end = start + bounds.window;
+        runs.iter().filter(|run| run.sent >= start && run.completed <= end).count()
+    };
+    let busiest = runs.iter().map(|run| within(run.sent)).max().unwrap_or(0);
+    let is_exceeded = busiest as f64 > allowed;
+    let message = format!("{busiest} requests ran within a window, the quota allows {allowed}");
+    is_exceeded.then_some(message).into_iter().collect()
+}
+
 /// Returns a message for each request that ran under a key although its ingress had already accepted
 /// a later one, which replaced it. `runs` holds the number of runs of each request, by tag.
 pub fn check_keys(
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -45,7 +45,8 @@
     let mut fleet = fleet::Fleet::start(plan).await?;
     let faults = schedule::generate(plan.seed, plan.duration, plan.processes);
     let callers = load::Callers::start(&fleet.ingress_addresses());
-    let keyed_callers = load::KeyedCallers::start(&fleet.ingress_addresses(), &fleet.edits());
+    let keyed_callers = load::Callers::start_keyed(&fleet.ingress_addresses(), &fleet.edits());
+    let quota_callers = load::Callers::start_quota(&fleet.ingress_addresses());
     let version_monitor = invariants::VersionMonitor::start(fleet.admin_addresses());
     let crashing = tokio::spawn(load::send_crashing_requests(fleet.ingress_addresses()));
     fleet.inject(&faults).await;
@@ -57,9 +58,12 @@
     violations.extend(fleet.probe_withdrawal().await);
     violations.extend(version_monitor.stop().await);
     let observations = callers.stop().await;
+    let quota_runs = quota_callers.stop().await;
+    println!("seed {}: {} requests ran under the quota", plan.seed, quota_runs.len());
     let runs = fleet.runs_by_tag();
     violations.extend(invariants::check_requests(&observations, &runs));
     violations.extend(invariants::check_keys(&keyed_observations, &runs));
+    violations.extend(invariants::check_quota(&quota_runs));
     violations.extend(fleet.shut_down().await);
     Ok(violations)
 }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -11,11 +11,11 @@
 
 use crate::fleet;
 
-/// Running callers.
+/// Running callers, each of which records a `T` for each request.
 #[derive(Debug)]
-pub struct Callers {
+pub struct Callers<T> {
     stop: sync::Arc<sync::atomic::AtomicBool>,
-    tasks: task::JoinSet<Vec<Observation>>,
+    tasks: task::JoinSet<Vec<T>>,
 }
 
 /// Response to a request of the soak, with the kind of the request.
@@ -27,6 +27,16 @@
     pub response: caller::Response,
 }
 
+/// A request of the organisation with a quota that a backend server has answered. It ran between the
+/// two times.
+#[derive(Debug, Clone, Copy)]
+pub struct Run {
+    /// When the caller sent the request.
+    pub sent: time::Instant,
+    /// When the caller had received the response.
+    pub completed: time::Instant,
+}
+
 /// Response to a request under a key.
 #[derive(Debug, Clone)]
 pub struct KeyedObservation {
@@ -42,13 +52,6 @@
     pub response: caller::Response,
 }
 
-/// Running callers that send requests under new and withdrawn keys.
-#[derive(Debug)]
-pub struct KeyedCallers {
-    stop: sync::Arc<sync::atomic::AtomicBool>,
-    tasks: task::JoinSet<Vec<KeyedObservation>>,
-}
-
 /// Number of earlier keys that callers use beside the newest one.
 const EARLIER_KEYS: u64 = 3;
 /// Number of callers for each ingress.
@@ -60,45 +63,75 @@
 /// Number of requests to each ingress in a probe.
 const PROBE_REQUESTS: usize = 20;
 
-impl Callers {
+impl<T: Send + 'static> Callers<T> {
+    fn new() -> Self {
+        Self { stop: Default::default(), tasks: task::JoinSet::new() }
+    }
+
+    /// Stops the callers and returns what they recorded.
+    pub async fn stop(self) -> Vec<T> {
+        self.stop.store(true, sync::atomic::Ordering::Release);
+        self.tasks.join_all().await.into_iter().flatten().collect()
+    }
+}
+
+impl Callers<Observation> {
     /// Starts three callers for each ingress. A caller reuses its connection until it fails.
     pub fn start(ingresses: &[net::SocketAddr]) -> Self {
-        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-        let mut tasks = task::JoinSet::new();
+        let mut callers = Self::new();
         for (first_index, ingress) in
             ingresses.iter().cycle().take(CALLERS_PER_INGRESS * ingresses.len()).enumerate()
         {
-            tasks.spawn(run_caller(*ingress, first_index, stop.clone()));
+            callers.tasks.spawn(run_caller(*ingress, first_index, callers.stop.clone()));
         }
-        Self { stop, tasks }
-    }
-
-    /// Stops the callers and returns all responses.
-    pub async fn stop(self) -> Vec<Observation> {
-        self.stop.store(true, sync::atomic::Ordering::Release);
-        self.tasks.join_all().await.into_iter().flatten().collect()
+        callers
     }
 }
 
-impl KeyedCallers {
-    /// Starts one caller for each ingress; `edits` is the number of the newest edit.
-    pub fn start(
+impl Callers<KeyedObservation> {
+    /// Starts one caller for each ingress, which sends requests under new and withdrawn keys; `edits`
+    /// is the number of the newest edit.
+    pub fn start_keyed(
         ingresses: &[net::SocketAddr],
         edits: &sync::Arc<sync::atomic::AtomicU64>,
     ) -> Self {
-        let stop = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-        let mut tasks = task::JoinSet::new();
+        let mut callers = Self::new();
         for ingress in ingresses {
-            tasks.spawn(run_keyed_caller(*ingress, edits.clone(), stop.clone()));
+            callers.tasks.spawn(run_keyed_caller(*ingress, edits.clone(), callers.stop.clone()));
         }
-        Self { stop, tasks }
+        callers
     }
+}
 
-    /// Stops the callers and returns all responses.
-    pub async fn stop(self) -> Vec<KeyedObservation> {
-        self.stop.store(true, sync::atomic::Ordering::Release);
-        self.tasks.join_all().await.into_iter().flatten().collect()
+impl Callers<Run> {
+    /// Starts one caller of the organisation with a quota for each ingress. Together they send several
+    /// times the quota, and record the requests that ran.
+    pub fn start_quota(ingresses: &[net::SocketAddr]) -> Self {
+        let mut callers = Self::new();
+        for ingress in ingresses {
+            callers.tasks.spawn(run_quota_caller(*ingress, callers.stop.clone()));
+        }
+        callers
+    }
+}
+
+async fn run_quota_caller(
+    ingress: net::SocketAddr,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) -> Vec<Run> {
+    let caller = caller::Caller::new(ingress);
+    let (host, path) = (fleet::HOST, fleet::QUOTA_PATH);
+    let key = Some(fleet::QUOTA_KEY.to_owned());
+    let request = caller::Request { host, path, key, ..caller::Request::default() };
+    let mut runs = Vec::new();
+    while !stop.load(sync::atomic::Ordering::Acquire) {
+        let sent = time::Instant::now();
+        if caller.send(&request).await.is_success() {
+            runs.push(Run { sent, completed: time::Instant::now() });
+        }
+        tokio::time::sleep(REQUEST_PAUSE).await;
     }
+    runs
 }
 
 async fn run_keyed_caller(
