--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -37,6 +37,9 @@
     pub secret: String,
 }
 
+/// Messages of one connection that are processed at the same time.
+const CONCURRENT_MAX: usize = 16;
+
 impl<C: clock::Clock> Clone for ControlServer<C> {
     fn clone(&self) -> Self {
         let (shared, history) = (self.shared.clone(), self.history.clone());
@@ -71,7 +74,9 @@
         let framed = codec::Framed::new(stream, control_client::framing());
         let transport = serde_transport::new(framed, formats::MessagePack::default());
         let channel = server::BaseChannel::with_defaults(transport);
-        channel.execute(self.serve()).for_each(|response| response).await;
+        let responses = channel.execute(self.serve());
+        // A relayed ask waits for another daemon, which must not delay the other messages.
+        responses.for_each_concurrent(CONCURRENT_MAX, |response| response).await;
     }
 
     fn authorise(&self, sender: &control::Sender) -> bool {
--- a/crates/coordination/src/quota_borrower.rs
+++ b/crates/coordination/src/quota_borrower.rs
@@ -129,9 +129,9 @@
         let path = if relay.is_some() { "relay" } else { "direct" };
         metrics::counter!("lynxmast_quota_asks_total", "result" => result, "path" => path)
             .increment(1);
-        if relay.is_none() && !is_answered {
+        if !is_answered {
             let until = self.shared.now() + RELAY_TIME;
-            lock(&self.unreachable).insert(owner, until);
+            lock(&self.unreachable).insert(relay.unwrap_or(owner), until);
         }
         self.lock_busy().swap_remove(&owner);
         self.apply(&asks, &grants, sent);
@@ -149,18 +149,20 @@
     /// owner is asked directly.
     fn relay_to(&self, owner: net::SocketAddr) -> Option<net::SocketAddr> {
         let now = self.shared.now();
-        let is_relayed = {
+        let unreachable: Vec<net::SocketAddr> = {
             let mut unreachable = lock(&self.unreachable);
             unreachable.retain(|_, until| *until > now);
-            unreachable.contains_key(&owner)
+            unreachable.keys().copied().collect()
         };
-        if !is_relayed {
+        if !unreachable.contains(&owner) {
             return None;
         }
         let membership = self.shared.membership();
         let own = membership.own_record().control;
         let addresses = membership.live_records(now).map(|record| record.control);
-        addresses.filter(|address| *address != own && *address != owner).choose(&mut rand::rng())
+        let is_usable =
+            |address: &net::SocketAddr| *address != own && !unreachable.contains(address);
+        addresses.filter(is_usable).choose(&mut rand::rng())
     }
 
     fn lock_busy(&self) -> sync::MutexGuard<'_, IndexSet<net::SocketAddr>> {
--- a/crates/lynxmast/src/check.rs
+++ b/crates/lynxmast/src/check.rs
@@ -7,6 +7,7 @@
 
 use lynxmast_platform::configuration;
 use lynxmast_protocol::admin as api;
+use lynxmast_state::ids;
 use lynxmast_state::policy::change;
 use lynxmast_state::policy::document;
 use lynxmast_state::policy::edit;
@@ -53,10 +54,11 @@
     let document = if options.configuration {
         read_configurations(&options.files, &mut lines)
     } else {
-        read_sections(&options.files, &mut lines)
+        read_sections(&options.files, in_force.document.as_ref(), &mut lines)
     };
     add_findings(&document, &in_force.pools, &mut lines);
-    if let Some(old) = &in_force.document {
+    let is_valid = lines.iter().all(|line| line.kind != "error");
+    if let Some(old) = in_force.document.as_ref().filter(|_| is_valid) {
         add_changes(old, &document, &mut lines);
     }
     let count = |kind| lines.iter().filter(|line| line.kind == kind).count();
@@ -71,40 +73,53 @@
     Ok(())
 }
 
-/// Reads the section files. Sections of teams that have no file here are not part of the result.
-fn read_sections(files: &[path::PathBuf], lines: &mut Vec<Line>) -> document::Document {
-    let mut document = document::Document::default();
+/// Reads the section files. Names must also be unique among the sections of other teams that are
+/// `in_force`, which are not part of the result.
+fn read_sections(
+    files: &[path::PathBuf],
+    in_force: Option<&document::Document>,
+    lines: &mut Vec<Line>,
+) -> document::Document {
+    let mut document = in_force.cloned().unwrap_or_default();
+    let mut teams = collections::HashSet::new();
     for file in files {
         let name = file.display().to_string();
         match std::fs::read_to_string(file) {
-            Ok(text) => add_section(&mut document, &name, &text, lines),
+            Ok(text) => teams.extend(add_section(&mut document, &name, &text, lines)),
             Err(error) => lines.push(Line::error(&name, None, None, error.to_string())),
         }
     }
+    document.sections.retain(|team, _| teams.contains(team));
     document
 }
 
-/// Adds a section to `document` if it is valid. `file` is the name of the file that contains `text`.
-fn add_section(document: &mut document::Document, file: &str, text: &str, lines: &mut Vec<Line>) {
+/// Adds a section to `document` and returns its team if it is valid. `file` is the name of the file that
+/// contains `text`.
+fn add_section(
+    document: &mut document::Document,
+    file: &str,
+    text: &str,
+    lines: &mut Vec<Line>,
+) -> Option<ids::TeamName> {
     let mut report = |problem: validation::Problem| {
         lines.push(Line::error(file, Some(problem.key), problem.line, problem.reason));
     };
     if text.len() > edit::Edit::TEXT_MAX_BYTES {
         let reason = format!("larger than {} bytes", edit::Edit::TEXT_MAX_BYTES);
         report(validation::Problem { key: String::new(), line: None, reason });
-        return;
+        return None;
     }
-    let section = match section::Section::parse(text) {
-        Ok(section) => section,
-        Err(problems) => return problems.into_iter().for_each(report),
-    };
+    let parsed = section::Section::parse(text);
+    let section = parsed.map_err(|problems| problems.into_iter().for_each(&mut report)).ok()?;
     let conflicts = document.name_conflicts(&section);
-    if conflicts.is_empty() {
-        lines.push(Line::valid(file, &section));
-        document.sections.insert(section.team.clone(), section);
-    } else {
+    if !conflicts.is_empty() {
         conflicts.into_iter().for_each(report);
+        return None;
     }
+    lines.push(Line::valid(file, &section));
+    let team = section.team.clone();
+    document.sections.insert(team.clone(), section);
+    Some(team)
 }
 
 /// Reads whole configurations of the users' platform; the last one counts.
@@ -151,7 +166,7 @@
     let document = if options.configuration {
         read_configurations(files, &mut lines)
     } else {
-        read_sections(files, &mut lines)
+        read_sections(files, None, &mut lines)
     };
     let errors: Vec<String> =
         lines.iter().filter(|line| line.kind == "error").map(Line::to_text).collect();
@@ -167,7 +182,9 @@
     for section in active {
         let decoded = toml::from_str::<section::Section>(&section.text);
         sections.push(decoded.map_err(|error| {
-            let message = format!("daemon {daemon}: section of {}: {error}", section.team);
+            // The error's full text quotes the line, which may hold the hash of a key.
+            let reason = error.message();
+            let message = format!("daemon {daemon}: section of {}: {reason}", section.team);
             error::CliError::new(error::EXIT_UNREACHABLE, message)
         })?);
     }
--- a/crates/lynxmast/src/check/tests.rs
+++ b/crates/lynxmast/src/check/tests.rs
@@ -85,3 +85,14 @@
     let texts: Vec<String> = lines.iter().map(Line::to_text).collect();
     assert_eq!(texts, ["change: changed service s: floor 0 -> 2"]);
 }
+
+/// Guards against a section that passes although another team in force uses its host.
+#[test]
+fn names_of_other_teams_in_force_are_conflicts() {
+    let text = "team = 'u'\n[[service]]\nname = 's'\n";
+    let parse = |text| section::Section::parse(text).expect("the section is valid");
+    let mut in_force = document::Document::new([parse("team = 't'\n[[service]]\nname = 's'\n")]);
+    let mut lines = Vec::new();
+    assert_eq!(add_section(&mut in_force, "u.toml", text, &mut lines), None);
+    assert!(lines[0].to_text().contains("already used by team 't'"), "{}", lines[0].to_text());
+}
--- a/crates/state/src/policy/change.rs
+++ b/crates/state/src/policy/change.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Fields of one entry by name. JSON holds the whole range of sizes, unlike TOML.
+type Fields = serde_json::Map<String, serde_json::Value>;
+
 /// Fields that hold hashes of keys.
 const KEY_FIELDS: [&str; 2] = ["key-hash", "key-hashes"];
 /// Text for a field without a value.
@@ -87,7 +90,7 @@
 }
 
 /// Returns the entries of a document by type and name, each as a table of its fields.
-fn entries(document: &document::Document) -> IndexMap<String, toml::Table> {
+fn entries(document: &document::Document) -> IndexMap<String, Fields> {
     let mut entries = IndexMap::new();
     entries.insert("limits of callers".to_owned(), table(&document.limits));
     for section in document.sections.values() {
@@ -96,7 +99,7 @@
     entries
 }
 
-fn add_entries(entries: &mut IndexMap<String, toml::Table>, section: &section::Section) {
+fn add_entries(entries: &mut IndexMap<String, Fields>, section: &section::Section) {
     for route in &section.route {
         let methods = route.methods.join("+");
         let separator = if methods.is_empty() { "" } else { " " };
@@ -111,11 +114,12 @@
     }
 }
 
-fn table(value: &impl serde::Serialize) -> toml::Table {
-    toml::Table::try_from(value).unwrap_or_default()
+fn table(value: &impl serde::Serialize) -> Fields {
+    let object = serde_json::to_value(value).ok();
+    object.and_then(|value| value.as_object().cloned()).unwrap_or_default()
 }
 
-fn changed_fields(old: &toml::Table, new: &toml::Table) -> Vec<String> {
+fn changed_fields(old: &Fields, new: &Fields) -> Vec<String> {
     let mut names: Vec<&String> = new.keys().chain(old.keys()).collect();
     names.sort();
     names.dedup();
@@ -135,17 +139,18 @@
     fields
 }
 
-fn text(value: Option<&toml::Value>) -> String {
+fn text(value: Option<&serde_json::Value>) -> String {
+    let value = value.filter(|value| !value.is_null());
     value.map_or_else(|| NONE.to_owned(), ToString::to_string)
 }
 
-fn key_hashes(table: &toml::Table) -> Vec<&str> {
+fn key_hashes(table: &Fields) -> Vec<&str> {
     let values = KEY_FIELDS.iter().filter_map(|field| table.get(*field));
     let lists = values.flat_map(|value| match value {
-        toml::Value::Array(values) => values.iter().collect(),
+        serde_json::Value::Array(values) => values.iter().collect(),
         single => vec![single],
     });
-    lists.filter_map(toml::Value::as_str).filter(|hash| !hash.is_empty()).collect()
+    lists.filter_map(serde_json::Value::as_str).filter(|hash| !hash.is_empty()).collect()
 }
 
 #[cfg(test)]
--- a/crates/state/src/policy/change/tests.rs
+++ b/crates/state/src/policy/change/tests.rs
@@ -68,3 +68,12 @@
     let changes = lines(&with_keys(&["a", "b"]), &with_keys(&["b", "c", "d"]));
     assert_eq!(changes, ["changed organisation o: keys 2 added, 1 removed"]);
 }
+
+/// Guards against changes that are hidden by a size that TOML cannot hold.
+#[test]
+fn changed_limits_of_callers_are_shown() {
+    let old = document::Document::default();
+    let mut new = document::Document::default();
+    new.limits.head_size = 1000;
+    assert_eq!(lines(&old, &new), ["changed limits of callers: head-size 65536 -> 1000"]);
+}
--- a/crates/state/src/quota/bounds.rs
+++ b/crates/state/src/quota/bounds.rs
@@ -50,16 +50,25 @@
     /// Returns the capacity of the owner's token bucket.
     pub fn capacity(&self, limit: &quota::Limit) -> f64 {
         let beyond = self.runs_max(limit) - self.within_quota(limit);
-        (1.0 - REFILLED_BURST) * limit.burst + CAPACITY_FRACTION * beyond
+        limit.burst - refilled_burst(limit) + CAPACITY_FRACTION * beyond
     }
 
     /// Returns the tokens per second that the owner's bucket gets. In one window, they and the
     /// capacity add up to the quota and [`CAPACITY_FRACTION`] of what the bounds allow beyond it.
     pub fn refill(&self, limit: &quota::Limit) -> f64 {
-        limit.rate + REFILLED_BURST * limit.burst / self.window.as_secs_f64()
+        limit.rate + refilled_burst(limit) / self.window.as_secs_f64()
     }
 
     fn within_quota(&self, limit: &quota::Limit) -> f64 {
         limit.rate * self.window.as_secs_f64() + limit.burst
     }
 }
+
+/// Returns the part of the burst that is refilled over the window. At least one request stays in the
+/// capacity, as a bucket below one token admits none.
+fn refilled_burst(limit: &quota::Limit) -> f64 {
+    (REFILLED_BURST * limit.burst).min(limit.burst - 1.0).max(0.0)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/running.rs
+++ b/crates/state/src/running.rs
@@ -77,6 +77,11 @@
         self.requests.len()
     }
 
+    /// Returns the most urgent rank of the running requests; `None` if none is running.
+    pub fn min_rank(&self) -> Option<u32> {
+        self.requests.iter().map(|(_, running)| running.rank).min()
+    }
+
     /// Returns whether no request is running.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
--- a/crates/state/src/spillover.rs
+++ b/crates/state/src/spillover.rs
@@ -117,6 +117,10 @@
 const PARTS: u32 = 32;
 /// Utilisation above which the formula for a queue's wait no longer applies.
 const UTILISATION_MAX: f64 = 0.97;
+/// Utilisation below which no request leaves a domain: there is hardly a wait that leaving could save.
+/// Service times differ between domains by chance, as upstreams that fail at once report short ones;
+/// without this limit, 60 to 90% of the requests left domains that used a third of their slots.
+const UTILISATION_MIN: f64 = 0.6;
 /// Seconds of wait for a utilisation of one beyond [`UTILISATION_MAX`]: a queue that grows for as long
 /// as the reports and the steps need to react.
 const OVERLOAD_WAIT_S: f64 = 5.0;
@@ -304,7 +308,11 @@
     let mut receives = vec![false; count];
     for _ in 0..PARTS * count as u32 {
         let mut best: Option<(f64, usize, usize)> = None;
-        for from in (0..count).filter(|&from| left[from] < PARTS && !receives[from]) {
+        let may_leave = |from: usize| {
+            let utilisation = arriving[from] / loads[from].load.capacity().max(f64::MIN_POSITIVE);
+            left[from] < PARTS && !receives[from] && utilisation >= UTILISATION_MIN
+        };
+        for from in (0..count).filter(|&from| may_leave(from)) {
             let transfer = transfer_cost(classes, f64::from(left[from]) / f64::from(PARTS));
             let part = loads[from].rate / f64::from(PARTS);
             let margin = loads[from].load.service_time.as_secs_f64() * GAIN_FRACTION_MIN + transfer;
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -216,7 +216,7 @@
                 return error_response::for_outcome(outcome, None, scheme);
             }
         };
-        if let Err(refusal) = self.check_quota(&context.route_match).await {
+        if let Err(refusal) = self.check_quota(&context).await {
             let outcome = outcome::Outcome::NotRun(match refusal.is_unreachable {
                 true => outcome::Rejection::QuotaUnavailable,
                 false => outcome::Rejection::RateLimited,
@@ -372,10 +372,8 @@
     /// # Errors
     ///
     /// Returns when there is room if the request is to be rejected.
-    async fn check_quota(
-        &self,
-        route_match: &compiled::RouteMatch,
-    ) -> Result<(), spender::Refusal> {
+    async fn check_quota(&self, context: &RequestContext) -> Result<(), spender::Refusal> {
+        let route_match = &context.route_match;
         let Some(limit) = route_match.quota else { return Ok(()) };
         let signals = &self.sidecar.quota_signals;
         let organisation = &route_match.organisation;
@@ -392,7 +390,12 @@
                 spender::Decision::Admit => return Ok(()),
                 spender::Decision::Reject(refusal) => return Err(refusal),
                 spender::Decision::Wait(until) => {
-                    let remaining = until.saturating_duration_since(now);
+                    let left = context.deadline.saturating_duration_since(self.shared.now());
+                    let remaining = until.saturating_duration_since(now).min(left);
+                    if left.is_zero() {
+                        let room = RETRY_AFTER_MIN;
+                        return Err(spender::Refusal { room, is_unreachable: true });
+                    }
                     let _ = tokio::time::timeout(remaining, granted).await;
                 }
             }
--- a/crates/transport/src/ingress/call.rs
+++ b/crates/transport/src/ingress/call.rs
@@ -22,9 +22,9 @@
 }
 
 impl<C: clock::Clock> ingress::Ingress<C> {
-    /// Returns whether a request is probably a call of a running request although it expires with
-    /// none: in a policy with organisations, callers have keys and backend servers have none. The
-    /// calls that are under way at a time are limited to the number of requests that may have made
+    /// Returns a place among the calls for a request that is probably the call of a running request
+    /// although it expires with none: in a policy with organisations, callers have keys and backend
+    /// servers have none. At most as many such calls are under way as requests that may have made
     /// them, so that callers of public routes gain little by being mistaken for a backend server.
     pub(super) fn find_call(
         &self,
@@ -35,8 +35,11 @@
         if !policy.has_organisations() || parsed.key.is_some() {
             return None;
         }
-        let running = self.sidecar.running_elsewhere(&route_match.service.name);
-        CallSlot::take(&self.calls, running)
+        let service = &route_match.service.name;
+        let (running, rank) = self.sidecar.running_elsewhere(service);
+        let slot = CallSlot::take(&self.calls, running, rank?)?;
+        metrics::counter!("lynxmast_calls_total", "service" => service.to_string()).increment(1);
+        Some(slot)
     }
 
     /// Returns the running request of which a request is probably a call: it has no key and expires
@@ -78,21 +81,25 @@
 
 /// Place of a request among those that count as calls; given up when it is dropped.
 #[derive(Debug)]
-pub struct CallSlot(CallCount);
+pub struct CallSlot {
+    count: CallCount,
+    /// Most urgent rank of the requests that may have made the call.
+    rank: u32,
+}
 
 impl CallSlot {
     /// Takes a place if fewer than `limit` are taken.
-    fn take(count: &CallCount, limit: usize) -> Option<Self> {
+    fn take(count: &CallCount, limit: usize, rank: u32) -> Option<Self> {
         let increment = |taken: usize| (taken < limit).then_some(taken + 1);
         let ordering = atomic::Ordering::Relaxed;
         count.fetch_update(ordering, ordering, increment).ok()?;
-        Some(Self(count.clone()))
+        Some(Self { count: count.clone(), rank })
     }
 }
 
 impl Drop for CallSlot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.count.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
@@ -109,9 +116,12 @@
         self.parent.as_ref().map_or(own, |parent| &parent.running.organisation)
     }
 
-    /// Returns the rank of the request: for a call, that of its parent.
+    /// Returns the rank of the request: for a call, that of its parent or, if that is not known, the
+    /// most urgent one of those that may be.
     pub(super) fn rank(&self) -> u32 {
-        self.parent.as_ref().map_or(self.route_match.rank, |parent| parent.running.rank)
+        let parent = self.parent.as_ref().map(|parent| parent.running.rank);
+        let possible = self.call.as_ref().map(|slot| slot.rank);
+        parent.or(possible).unwrap_or(self.route_match.rank)
     }
 
     /// Returns the time left until the objective: for a call, that of its parent. Zero once it is
--- a/crates/transport/src/sidecar/calls.rs
+++ b/crates/transport/src/sidecar/calls.rs
@@ -19,11 +19,13 @@
 
 impl<C: clock::Clock> sidecar::Sidecar<C> {
     /// Returns the number of running requests of local upstreams that may have made a call to
-    /// `service`.
-    pub fn running_elsewhere(&self, service: &str) -> usize {
+    /// `service`, and their most urgent rank.
+    pub fn running_elsewhere(&self, service: &str) -> (usize, Option<u32>) {
         let upstreams = self.read_upstreams();
         let others = upstreams.values().filter(|upstream| &*upstream.id.service != service);
-        others.map(|upstream| upstream.running()).sum()
+        others.map(|upstream| upstream.running()).fold((0, None), |(count, rank), next| {
+            (count + next.0, rank.into_iter().chain(next.1).min())
+        })
     }
 
     /// Returns the running request of a local upstream that has probably made a call to `service`
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -195,9 +195,10 @@
         Some((running::distance(parent.deadline, deadline), parent.clone()))
     }
 
-    /// Returns the number of running requests.
-    pub fn running(&self) -> usize {
-        lock(&self.running).len()
+    /// Returns the number of running requests, and their most urgent rank.
+    pub fn running(&self) -> (usize, Option<u32>) {
+        let running = lock(&self.running);
+        (running.len(), running.min_rank())
     }
 
     /// Returns a retry that was not forwarded to the budget.
