--- a/crates/protocol/src/envelope.rs
+++ b/crates/protocol/src/envelope.rs
@@ -31,6 +31,8 @@
     pub policy: ids::PolicyVersion,
     /// Whether the sidecar may send the request a second time, on a new connection.
     pub may_resend: bool,
+    /// Whether the ingress has asked another sidecar for the request before.
+    pub is_redirected: bool,
     /// Whether the request has already been sent to a backend server.
     pub is_retry: bool,
     /// Whether the request is a retry of which it is known that no earlier attempt has run it.
@@ -76,6 +78,7 @@
     ///     time_left: Duration::from_millis(250),
     ///     policy: 7,
     ///     may_resend: false,
+    ///     is_redirected: false,
     ///     is_retry: false,
     ///     not_run: false,
     ///     retry_probability: 0.0,
@@ -95,6 +98,9 @@
         put(headers, header::TIME_LEFT_US, &self.time_left.as_micros().to_string());
         put(headers, header::POLICY_VERSION, &self.policy.to_string());
         put(headers, header::MAY_RESEND, &self.may_resend.to_string());
+        if self.is_redirected {
+            put(headers, header::REDIRECTED, "true");
+        }
         if self.is_retry {
             put(headers, header::RETRY, if self.not_run { header::RETRY_NOT_RUN } else { "true" });
         }
@@ -131,6 +137,7 @@
             time_left: time::Duration::from_micros(get(headers, header::TIME_LEFT_US)?),
             policy: get(headers, header::POLICY_VERSION)?,
             may_resend: get(headers, header::MAY_RESEND)?,
+            is_redirected: headers.contains_key(header::REDIRECTED),
             is_retry: headers.contains_key(header::RETRY),
             not_run: headers.get(header::RETRY).is_some_and(|v| v == header::RETRY_NOT_RUN),
             retry_probability: read_probability(headers, header::RETRY_PROBABILITY),
--- a/crates/protocol/src/envelope/tests.rs
+++ b/crates/protocol/src/envelope/tests.rs
@@ -73,6 +73,7 @@
         time_left: time::Duration::from_millis(250),
         policy: 7,
         may_resend: false,
+        is_redirected: is_retry,
         is_retry,
         not_run,
         retry_probability: 0.0,
--- a/crates/protocol/src/header.rs
+++ b/crates/protocol/src/header.rs
@@ -33,6 +33,8 @@
 /// connection.
 pub const MAY_RESEND: &str = "lynxmast-idempotent";
 
+/// Ingress to sidecar: present if another sidecar was asked for the request before.
+pub const REDIRECTED: &str = "lynxmast-redirected";
 /// Ingress to sidecar: present if the request has already been sent to a backend server; the value is
 /// [`RETRY_NOT_RUN`] if none can have run it.
 pub const RETRY: &str = "lynxmast-repeat";
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -260,6 +260,18 @@
     /// Decides on a request for a slot; `item` is returned with the decision. Call
     /// [`Admission::dequeue`] after a request was queued, as a slot may be free for it.
     pub fn admit(&mut self, arrival: &Arrival, item: T, now: time::Instant) -> Decision<T> {
+        self.served_shares.record_arrival(&arrival.priority, now);
+        self.admit_redirected(arrival, item, now)
+    }
+
+    /// Decides on a request that another sidecar has rejected. It is not counted as an arrival: a
+    /// request that asks many sidecars would seem to be served seldom, and take precedence.
+    pub fn admit_redirected(
+        &mut self,
+        arrival: &Arrival,
+        item: T,
+        now: time::Instant,
+    ) -> Decision<T> {
         self.add_credit(now);
         if self.draining {
             return Decision::Reject(item, outcome::Rejection::Draining);
@@ -267,7 +279,6 @@
         if arrival.deadline <= now {
             return Decision::Reject(item, outcome::Rejection::DeadlineBeforeRun);
         }
-        self.served_shares.record_arrival(&arrival.priority, now);
         let class = match arrival.priority.is_call {
             true => ShareClass::Fair,
             false => self.share_class(Some(&arrival.organisation), now),
--- a/crates/state/src/membership/placement.rs
+++ b/crates/state/src/membership/placement.rs
@@ -65,7 +65,8 @@
         let owner = best.map_or(own, |(_, record)| record);
         let control = (owner.daemon != own.daemon).then_some(owner.control);
         let share = f64::from(heard) / f64::from(known);
-        Placement { owner: owner.daemon.clone(), control, position: owner::Position { age, share } }
+        let position = owner::Position { age, share, silence: heard_time };
+        Placement { owner: owner.daemon.clone(), control, position }
     }
 
     /// Records a heartbeat of a daemon, which is added if it is not known.
--- a/crates/state/src/quota/owner.rs
+++ b/crates/state/src/quota/owner.rs
@@ -18,6 +18,10 @@
     seq: u64,
     /// When this daemon has started, or resumed after its last pause.
     resumed: time::Instant,
+    /// Whether `resumed` is the end of a pause. The time of a pause does not count as silence of the
+    /// others, which have heard nothing of this daemon meanwhile; it lends again once both sides
+    /// would have noticed a partition.
+    was_paused: bool,
     ticked: time::Instant,
     /// Smallest share in the current and in the previous period.
     shares: [f64; 2],
@@ -31,6 +35,8 @@
     pub age: time::Duration,
     /// Part of the known daemons that this daemon hears, 0 to 1.
     pub share: f64,
+    /// Time without a heartbeat after which a daemon counts as silent.
+    pub silence: time::Duration,
 }
 
 #[derive(Debug)]
@@ -51,7 +57,10 @@
 /// Time after which tokens expire.
 pub const TOKEN_TTL: time::Duration = time::Duration::from_millis(500);
 /// Time after a start or a pause without loans, in which daemons that took over hear of this one.
-pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(1);
+pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(2);
+/// Factor on the share of an owner that started less than the silence limit ago. It takes daemons that
+/// it has only been told of for heard, while these may have noticed a partition and lend their part.
+const NEW_SHARE: f64 = 0.6;
 /// Shortest pause after which another daemon may have taken over.
 const PAUSE_MIN: time::Duration = time::Duration::from_secs(4);
 /// Time for which the share stays at its minimum. Within it, daemons on the other side of a partition
@@ -81,6 +90,7 @@
             accounts: IndexMap::new(),
             seq: incarnation << SEQ_BITS,
             resumed: now,
+            was_paused: false,
             ticked: now,
             shares: [1.0; 2],
             period_started: now,
@@ -117,8 +127,10 @@
         now: time::Instant,
     ) -> message::Grant {
         self.detect_pause(now);
-        let share = self.low_share(position.share, now);
-        let settled = now.saturating_duration_since(self.resumed).saturating_sub(SETTLE_TIME);
+        let is_new = now.saturating_duration_since(self.resumed) < position.silence;
+        let share = self.low_share(position.share, now) * if is_new { NEW_SHARE } else { 1.0 };
+        let settle = if self.was_paused { SETTLE_TIME.max(position.silence) } else { SETTLE_TIME };
+        let settled = now.saturating_duration_since(self.resumed).saturating_sub(settle);
         let age = position.age.min(settled);
         let rate = self.bounds.refill(limit) * share;
         let capacity = self.bounds.capacity(limit) * share;
@@ -160,6 +172,7 @@
     fn detect_pause(&mut self, now: time::Instant) {
         if now.saturating_duration_since(self.ticked) > PAUSE_MIN {
             self.resumed = now;
+            self.was_paused = true;
         }
         self.ticked = self.ticked.max(now);
     }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -155,6 +155,8 @@
 /// Options of one attempt.
 #[derive(Debug, Clone, Copy)]
 struct AttemptOptions {
+    /// Whether another sidecar was asked before.
+    is_redirected: bool,
     /// Whether an earlier attempt reached a backend server.
     is_retry: bool,
     /// Whether it is known that no earlier attempt has run the request.
@@ -488,7 +490,8 @@
         let risk = context.risk_tolerance(progress, self.may_probe(context));
         let may_retry = context.has_attempt_after_next(progress) && context.body.is_replayable();
         let (is_retry, not_run) = (progress.attempts > 0, progress.may_have_run.is_none());
-        let options = AttemptOptions { is_retry, not_run, risk, may_retry };
+        let is_redirected = progress.contacted() > 1;
+        let options = AttemptOptions { is_redirected, is_retry, not_run, risk, may_retry };
         let mut primary = std::pin::pin!(self.try_upstream(context, first, options));
         let Some(hedge_delay) = self.hedge_delay(context) else { return primary.await };
         if let Ok(result) = tokio::time::timeout(hedge_delay, &mut primary).await {
@@ -496,7 +499,8 @@
         }
         let Some(second) = self.pick_hedge(context, progress) else { return primary.await };
         metrics::counter!("lynxmast_hedges_total").increment(1);
-        let hedge_options = AttemptOptions { is_retry: true, not_run: false, risk, may_retry };
+        let hedge_options =
+            AttemptOptions { is_redirected: true, is_retry: true, not_run: false, ..options };
         let hedge = self.try_upstream(context, second, hedge_options);
         let is_success = |response: &http::Response<_>| !response.status().is_server_error();
         let outcome = hedge::first_success(primary, hedge, is_success).await;
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -39,6 +39,7 @@
             time_left: context.deadline.saturating_duration_since(started),
             policy: context.policy_version,
             may_resend: context.may_resend(),
+            is_redirected: options.is_redirected,
             is_retry: options.is_retry,
             not_run: options.is_retry && options.not_run,
             retry_probability: self.retry_probability(&context.route_match.service),
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -372,12 +372,13 @@
             .increment(1);
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::OverBudget));
         }
-        let slot = upstream.admit(&arrival, now).await.map_err(|rejection| {
-            if withdrawn.is_some() {
-                upstream.refund_retry();
-            }
-            retry::AttemptEnd::NotRun(rejection)
-        })?;
+        let slot =
+            upstream.admit(&arrival, envelope.is_redirected, now).await.map_err(|rejection| {
+                if withdrawn.is_some() {
+                    upstream.refund_retry();
+                }
+                retry::AttemptEnd::NotRun(rejection)
+            })?;
         if let Some(budget) = budget.filter(|_| !envelope.is_retry) {
             upstream.record_first_attempt(&budget, envelope.retry_probability, now);
         }
--- a/crates/transport/src/upstream.rs
+++ b/crates/transport/src/upstream.rs
@@ -535,10 +535,14 @@
     pub async fn admit(
         self: &sync::Arc<Self>,
         arrival: &admission::Arrival,
+        is_redirected: bool,
         now: time::Instant,
     ) -> Result<Slot<C>, outcome::Rejection> {
         let (sender, receiver) = oneshot::channel();
-        let decision = lock(&self.admission).admit(arrival, Some(sender), now);
+        let decision = match is_redirected {
+            true => lock(&self.admission).admit_redirected(arrival, Some(sender), now),
+            false => lock(&self.admission).admit(arrival, Some(sender), now),
+        };
         match decision {
             admission::Decision::Admit(_, class) => Ok(self.slot(class, now)),
             admission::Decision::Reject(_, rejection) => Err(rejection),
--- a/crates/transport/src/upstream/tests.rs
+++ b/crates/transport/src/upstream/tests.rs
@@ -33,11 +33,11 @@
 async fn the_queue_of_an_upstream_that_becomes_suspected_is_not_run_there() {
     let now = time::Instant::now();
     let upstream = upstream(1, now);
-    let running = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), now).await;
+    let running = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), false, now).await;
     let running = running.expect("the slot is free");
     let queued = [outlier::RiskTolerance::Avoid, outlier::RiskTolerance::Accept].map(|risk| {
         let upstream = upstream.clone();
-        tokio::spawn(async move { upstream.admit(&arrival(risk, now), now).await.map(drop) })
+        tokio::spawn(async move { upstream.admit(&arrival(risk, now), false, now).await.map(drop) })
     });
     while upstream.load(now).queued < 2 {
         tokio::task::yield_now().await;
@@ -55,7 +55,7 @@
     let now = time::Instant::now();
     let deadline = now + SECOND;
     let upstream = upstream(1, now);
-    let slot = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), now).await;
+    let slot = upstream.admit(&arrival(outlier::RiskTolerance::Avoid, now), false, now).await;
     let request = running::Running {
         deadline,
         organisation: "a".into(),
