Let the silence limit of quotas grow with the fleet

Change: the limit is a third of the liveness timeout and 60 ms for each other daemon (9.5 s at 78 daemons, 3.6 s at three); an owner settles for 2 s as before; half of the burst is refilled. The cases of the placement test follow the limit.

--- a/crates/state/src/membership/placement.rs
+++ b/crates/state/src/membership/placement.rs
@@ -23,10 +23,15 @@
     pub position: owner::Position,
 }
 
-/// A daemon counts as heard for this fraction of the time after which its upstreams get no new
-/// requests. Heartbeats are relayed: among 78 daemons the newest known one is up to 7 s old. With a
-/// third (4.9 s), an owner regarded 5 to 18% of the daemons as silent and lent nothing.
-const HEARD_FRACTION: f64 = 2.0 / 3.0;
+/// Part of the time after which a daemon's upstreams get no new requests for which it counts as heard.
+const HEARD_DIVISOR: u32 = 3;
+/// Time for each other daemon for which one counts as heard in addition. Heartbeats are relayed: among
+/// 78 daemons the newest known one is up to 7 s old. With 4.9 s for all, an owner regarded 5 to 18% of
+/// the fleet as silent and lent nothing.
+const HEARD_TIME_PER_PEER: time::Duration = time::Duration::from_millis(60);
+/// Maximum part of the time after which a daemon's upstreams get no new requests for which it counts
+/// as heard.
+const HEARD_FRACTION_MAX: f64 = 2.0 / 3.0;
 /// Time after the owner counts as silent in which its successor lends nothing. Within it, the owner
 /// regards this daemon as silent too if they are partitioned, and lends less.
 const TAKEOVER_DELAY: time::Duration = time::Duration::from_secs(2);
@@ -35,7 +40,10 @@
     /// Selects the owner of `organisation` among the daemons heard recently, by rendezvous hashing.
     pub fn place(&mut self, organisation: &str, now: time::Instant) -> Placement {
         self.skip_pause(now);
-        let heard_time = self.liveness_timeout().mul_f64(HEARD_FRACTION);
+        let liveness_timeout = self.liveness_timeout();
+        let heard_time = liveness_timeout / HEARD_DIVISOR
+            + HEARD_TIME_PER_PEER * u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let heard_time = heard_time.min(liveness_timeout.mul_f64(HEARD_FRACTION_MAX));
         let silence = |peer: &membership::Peer| now.saturating_duration_since(peer.last_seen);
         let own = &self.own_record;
         let own_weight = weight(organisation, &own.daemon);
--- a/crates/state/src/membership/placement/tests.rs
+++ b/crates/state/src/membership/placement/tests.rs
@@ -44,10 +44,10 @@
 
 // Guards against a successor that lends while the owner that it cannot hear still lends too.
 #[test_case(1.0, 0, 0.0; "owner heard recently")]
-#[test_case(7.0, 0, 0.0; "owner heard at the age that relayed heartbeats reach")]
-#[test_case(7.5, 1, 0.0; "owner silent")]
-#[test_case(9.0, 1, 0.0; "owner silent, within the delay of a takeover")]
-#[test_case(11.0, 1, 1.97; "owner silent for longer")]
+#[test_case(4.0, 0, 0.0; "owner heard at the age that relayed heartbeats reach")]
+#[test_case(4.5, 1, 0.0; "owner silent")]
+#[test_case(6.0, 1, 0.0; "owner silent, within the delay of a takeover")]
+#[test_case(8.0, 1, 1.95; "owner silent for longer")]
 fn a_successor_counts_from_the_silence_of_the_owner(silence: f64, rank: usize, age: f64) {
     let start = time::Instant::now();
     let ranking = ranking("o");
--- a/crates/state/src/quota/bounds.rs
+++ b/crates/state/src/quota/bounds.rs
@@ -27,7 +27,7 @@
 /// Fraction of the burst that is added to the rate, over the window, rather than to the capacity. In
 /// each window the organisation may send its burst in addition to its rate; a bucket of the whole burst
 /// allows that only in the first one.
-const REFILLED_BURST: f64 = 0.8;
+const REFILLED_BURST: f64 = 0.5;
 /// Fraction of what the bounds allow beyond the quota that is added to the owner's bucket. The rest
 /// covers the varying time between the admission and the run of a request, and daemons that regard
 /// each other as silent at different times.
--- a/crates/state/src/quota/owner.rs
+++ b/crates/state/src/quota/owner.rs
@@ -58,9 +58,6 @@
 pub const TOKEN_TTL: time::Duration = time::Duration::from_millis(500);
 /// Time after a start or a pause without loans, in which daemons that took over hear of this one.
 pub const SETTLE_TIME: time::Duration = time::Duration::from_secs(2);
-/// Factor on the share of an owner that started less than the silence limit ago. It takes daemons that
-/// it has only been told of for heard, while these may have noticed a partition and lend their part.
-const NEW_SHARE: f64 = 0.6;
 /// Shortest pause after which another daemon may have taken over.
 const PAUSE_MIN: time::Duration = time::Duration::from_secs(4);
 /// Time for which the share stays at its minimum. Within it, daemons on the other side of a partition
@@ -127,8 +124,7 @@
         now: time::Instant,
     ) -> message::Grant {
         self.detect_pause(now);
-        let is_new = now.saturating_duration_since(self.resumed) < position.silence;
-        let share = self.low_share(position.share, now) * if is_new { NEW_SHARE } else { 1.0 };
+        let share = self.low_share(position.share, now);
         let settle = if self.was_paused { SETTLE_TIME.max(position.silence) } else { SETTLE_TIME };
         let settled = now.saturating_duration_since(self.resumed).saturating_sub(settle);
         let age = position.age.min(settled);
