Keep the whole burst of a quota in the bucket

Change: the refill is the rate again; a test states that the bucket stays within the bounds and holds at least one token.

--- a/crates/state/src/quota/bounds.rs
+++ b/crates/state/src/quota/bounds.rs
@@ -24,10 +24,6 @@
     }
 }
 
-/// Fraction of the burst that is added to the rate, over the window, rather than to the capacity. In
-/// each window the organisation may send its burst in addition to its rate; a bucket of the whole burst
-/// allows that only in the first one.
-const REFILLED_BURST: f64 = 0.5;
 /// Fraction of what the bounds allow beyond the quota that is added to the owner's bucket. The rest
 /// covers the varying time between the admission and the run of a request, and daemons that regard
 /// each other as silent at different times.
@@ -50,13 +46,7 @@
     /// Returns the capacity of the owner's token bucket.
     pub fn capacity(&self, limit: &quota::Limit) -> f64 {
         let beyond = self.runs_max(limit) - self.within_quota(limit);
-        limit.burst - refilled_burst(limit) + CAPACITY_FRACTION * beyond
-    }
-
-    /// Returns the tokens per second that the owner's bucket gets. In one window, they and the
-    /// capacity add up to the quota and [`CAPACITY_FRACTION`] of what the bounds allow beyond it.
-    pub fn refill(&self, limit: &quota::Limit) -> f64 {
-        limit.rate + refilled_burst(limit) / self.window.as_secs_f64()
+        limit.burst + CAPACITY_FRACTION * beyond
     }
 
     fn within_quota(&self, limit: &quota::Limit) -> f64 {
@@ -64,11 +54,5 @@
     }
 }
 
-/// Returns the part of the burst that is refilled over the window. At least one request stays in the
-/// capacity, as a bucket below one token admits none.
-fn refilled_burst(limit: &quota::Limit) -> f64 {
-    (REFILLED_BURST * limit.burst).min(limit.burst - 1.0).max(0.0)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/quota/bounds/tests.rs
+++ b/crates/state/src/quota/bounds/tests.rs
@@ -13,7 +13,7 @@
     let bounds = Bounds { excess, slack, ..Bounds::default() };
     for rate in [0.2, 1.0, 22.0, 400.0] {
         let limit = quota::Limit { rate, burst };
-        let window = bounds.capacity(&limit) + bounds.refill(&limit) * bounds.window.as_secs_f64();
+        let window = bounds.capacity(&limit) + rate * bounds.window.as_secs_f64();
         assert!(window <= bounds.runs_max(&limit) + 1e-9, "{rate}: {window}");
         assert!(window >= rate * 5.0 + burst - 1e-9, "{rate}: {window}");
         assert!(bounds.capacity(&limit) >= 1.0, "{rate}");
--- a/crates/state/src/quota/owner.rs
+++ b/crates/state/src/quota/owner.rs
@@ -128,7 +128,7 @@
         let settle = if self.was_paused { SETTLE_TIME.max(position.silence) } else { SETTLE_TIME };
         let settled = now.saturating_duration_since(self.resumed).saturating_sub(settle);
         let age = position.age.min(settled);
-        let rate = self.bounds.refill(limit) * share;
+        let rate = limit.rate * share;
         let capacity = self.bounds.capacity(limit) * share;
         let accrued = (rate * age.as_secs_f64()).min(capacity);
         let account = self.accounts.entry(ask.organisation.clone()).or_insert_with(|| Account {
--- a/crates/state/src/quota/tests.rs
+++ b/crates/state/src/quota/tests.rs
@@ -263,7 +263,7 @@
     let start = time::Instant::now();
     let at = |ms| start + time::Duration::from_millis(ms);
     let bounds = bounds::Bounds { window: time::Duration::from_secs(5), excess: 0.0, slack: 0.0 };
-    let limit = quota::Limit { rate: 1000.0, burst: 20.0 };
+    let limit = quota::Limit { rate: 1000.0, burst: 10.0 };
     let mut owner = owner::Owner::new(bounds, 1, start);
     (0..20).for_each(|n| owner.tick(at(n * 1000)));
     let position =
