--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -14,7 +14,7 @@
 /// Gray upstreams: 3 of 20, a share of 0.15.
 const GRAY: usize = 3;
 /// Share of their requests that the gray upstreams answer by half.
-const HALF_SHARE: f64 = 0.45;
+const HALF_SHARE: f64 = 0.6;
 const GRAY_TIME: Duration = Duration::from_millis(6500);
 const REQUESTS_PER_S: u64 = 100;
 const TRAFFIC_TIME: Duration = Duration::from_millis(22_000);
@@ -30,8 +30,7 @@
 fn main() {
     let record = Record::new("review/2/record.txt".into());
     let code = run(&record);
-    record.save();
-    std::process::exit(code);
+    finish(&record, code)
 }
 
 fn run(record: &Record) -> i32 {
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -15,8 +16,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64, unused2: u64, unused3: u64, unused4: u64) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG`: a daemon ends with the case, also if that is killed.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
@@ -25,6 +30,19 @@
 pub const BROKEN: i32 = 1;
 pub const NOT_RUN: i32 = 2;
 
+/// Ids of the daemons that were started and have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all daemons, saves the record and exits.
+pub fn finish(record: &Record, code: i32) -> ! {
+    for id in STARTED.lock().unwrap().drain(..) {
+        // SAFETY: the process was started here and has not been waited for.
+        unsafe { kill(id as i32, SIGKILL) };
+    }
+    record.save();
+    std::process::exit(code)
+}
+
 /// Starts a thread with a small stack; a case uses many.
 pub fn spawn<F: FnOnce() + Send + 'static>(run: F) -> thread::JoinHandle<()> {
     thread::Builder::new().stack_size(256 * 1024).spawn(run).expect("a thread starts")
@@ -428,13 +446,18 @@
         let file = self.write_settings(store);
         let log = self.folder.join(format!("{}.log", self.name));
         let log = fs::OpenOptions::new().create(true).append(true).open(log).expect("a log");
-        let child = Command::new("target/release/lynxmastd")
-            .arg("--settings")
-            .arg(&file)
-            .stdout(Stdio::from(log.try_clone().unwrap()))
-            .stderr(Stdio::from(log))
-            .spawn()
-            .expect("the daemon starts");
+        let mut command = Command::new("target/release/lynxmastd");
+        command.arg("--settings").arg(&file);
+        command.stdout(Stdio::from(log.try_clone().unwrap())).stderr(Stdio::from(log));
+        // SAFETY: the call only sets an attribute of the new process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the daemon starts");
+        STARTED.lock().unwrap().push(child.id());
         *self.process.lock().unwrap() = Some(child);
     }
 
@@ -449,16 +472,11 @@
     pub fn kill(&self) {
         if let Some(mut child) = self.process.lock().unwrap().take() {
             let _ = child.kill();
+            STARTED.lock().unwrap().retain(|id| *id != child.id());
             let _ = child.wait();
         }
     }
 
-    /// Returns whether the process has ended.
-    pub fn has_ended(&self) -> bool {
-        let mut process = self.process.lock().unwrap();
-        process.as_mut().map_or(true, |child| child.try_wait().ok().flatten().is_some())
-    }
-
     /// Asks for readiness, as the platform does once a second.
     pub fn is_ready(&self) -> bool {
         matches!(call(self.admin, "GET", "/ready", b"", ms(900)), Ok((200, _)))
