End responses that go silent at the deadline of their request

Cause: silence within a response was limited by the service's stall timeout (10 s) alone, for held and for streamed bodies of known length. The timeout has no relation to the deadline: with one of 0.3 s, responses ended after 0.31 s although the upstream might have completed them by the deadline.

A response now ends at the deadline if it is silent then, and later once it has paused for 0.4 s; silence ends it no sooner unless the request can be retried. Bytes that still arrive are passed on, also to slow readers. A hold ends 0.4 s after the deadline.

--- a/crates/state/src/policy/service.rs
+++ b/crates/state/src/policy/service.rs
@@ -58,7 +58,9 @@
         /// What the transfer of a gigabyte (10^9 bytes) to another failure domain may cost in
         /// latency, in seconds per gigabyte, 0 to 3600; with `None`, 1 s per 128 KiB.
         pub transfer_cost: Option<f64>,
-        /// Longest time without progress on a body before the request is aborted.
+        /// Longest pause within a request body, and longest time for which a response is left unread,
+        /// before the request is aborted. A response may pause until the deadline, unless the request
+        /// can be retried.
         #[serde(with = "humantime_serde")]
         pub stall: time::Duration,
         /// Bytes of request bodies that one upstream may hold at the same time; `None` for no limit.
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -112,6 +112,17 @@
     polled
 }
 
+impl<C: clock::Clock> ResponseBody<C> {
+    /// Reports a response that is given up before its end as a failure of its upstream.
+    pub fn record_failure(&mut self) {
+        if let ResponseBody::Local(_, outstanding, _) | ResponseBody::Remote(_, outstanding, _) =
+            self
+        {
+            outstanding.set_result(router::AttemptResult::Failed);
+        }
+    }
+}
+
 impl<C: clock::Clock> Body for ResponseBody<C> {
     type Data = Bytes;
     type Error = body_error::BodyError;
--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -16,6 +16,7 @@
 
 use crate::body_error;
 use crate::pool;
+use crate::result_recorder;
 use crate::stall_timeout;
 use crate::upstream;
 
@@ -38,6 +39,18 @@
 /// Longest wait for the rest of a discarded response body.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Time for which a response is left unread from which on the backend server may cut it off for that.
+const UNREAD_MAX: time::Duration = time::Duration::from_secs(1);
+
+/// Limits on the time that a response body may take.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyLimits {
+    /// Longest time for which the body may be left unread.
+    pub stall: time::Duration,
+    /// Deadline of the request, after which the backend server may not be silent.
+    pub deadline: time::Instant,
+}
+
 /// Body that forwards a response and ends the exchange with its last byte.
 #[derive(Debug)]
 pub struct SidecarBody<C: clock::Clock> {
@@ -59,6 +72,12 @@
     exchange: Option<Exchange<C>>,
     /// Why the exchange ended before the response was complete.
     abandoned: Option<body_error::BodyError>,
+    recorder: result_recorder::ResultRecorder<C>,
+    /// Whether the reader waits for the backend server.
+    is_waiting: bool,
+    /// Whether the body was left unread for over [`UNREAD_MAX`].
+    is_unread: bool,
+    /// Last time at which a part of the body was read.
     last_progress: time::Instant,
 }
 
@@ -70,22 +89,32 @@
 
 impl<C: clock::Clock> Exchange<C> {
     /// Converts the exchange into a body; if the response has no body, the exchange ends at once.
+    /// `recorder` gets the result if the backend server does not complete the body.
     pub fn into_body(
         self,
-        stall_timeout: time::Duration,
-        now: time::Instant,
+        recorder: result_recorder::ResultRecorder<C>,
+        limits: BodyLimits,
         monitor: &StallMonitor<C>,
     ) -> SidecarBody<C> {
         let is_complete = self.incoming.is_end_stream();
-        let state = State { exchange: Some(self), abandoned: None, last_progress: now };
-        let tracked =
-            sync::Arc::new(TrackedExchange { stall_timeout, state: sync::Mutex::new(state) });
+        let last_progress = self.slot.now();
+        let state = State {
+            exchange: Some(self),
+            abandoned: None,
+            recorder,
+            is_waiting: false,
+            is_unread: false,
+            last_progress,
+        };
+        let state = sync::Mutex::new(state);
+        let tracked = sync::Arc::new(TrackedExchange { stall_timeout: limits.stall, state });
         if is_complete {
             tracked.finish();
         } else {
             monitor.add(&tracked);
         }
-        SidecarBody { tracked, timer: stall_timeout::StallTimer::new(stall_timeout), is_complete }
+        let timer = stall_timeout::StallTimer::for_response(limits.deadline);
+        SidecarBody { tracked, timer, is_complete }
     }
 
     /// Reads and discards the rest of a small response, so that the connection can be reused.
@@ -132,12 +161,42 @@
     fn abandon(&self, reason: body_error::BodyError) {
         let mut state = self.lock();
         let exchange = state.exchange.take();
+        if state.abandoned.is_none() && state.is_upstream_failure(reason) {
+            state.recorder.record(false);
+        }
+        state.recorder.pause();
         state.abandoned.get_or_insert(reason);
         drop(state);
         drop(exchange);
     }
 }
 
+impl<C: clock::Clock> State<C> {
+    /// Returns whether the backend server is the cause if the body ends for `reason`.
+    fn is_upstream_failure(&self, reason: body_error::BodyError) -> bool {
+        match reason {
+            body_error::BodyError::Stalled => self.is_waiting,
+            body_error::BodyError::Truncated => !self.is_unread,
+            _ => false,
+        }
+    }
+
+    /// Records that the reader waits for the backend server.
+    fn record_wait(&mut self) {
+        self.is_waiting = true;
+        self.recorder.resume();
+    }
+
+    /// Records that a part of the body was read, or its end.
+    fn record_progress(&mut self, now: time::Instant) {
+        let was_unread = now.saturating_duration_since(self.last_progress) > UNREAD_MAX;
+        self.is_unread |= was_unread && !self.is_waiting;
+        self.is_waiting = false;
+        self.recorder.pause();
+        self.last_progress = now;
+    }
+}
+
 impl<C: clock::Clock> Default for StallMonitor<C> {
     fn default() -> Self {
         Self { exchanges: Default::default() }
@@ -149,7 +208,7 @@
         self.lock().push(sync::Arc::downgrade(tracked));
     }
 
-    /// Abandons exchanges that made no progress within their stall timeout and returns their
+    /// Abandons exchanges whose bodies were not read within their stall timeout, and returns their
     /// number.
     pub fn sweep(&self, now: time::Instant) -> usize {
         let mut exchanges = self.lock();
@@ -160,7 +219,7 @@
         let is_stalled = |tracked: &sync::Arc<TrackedExchange<C>>| {
             let state = tracked.lock();
             let idle = now.saturating_duration_since(state.last_progress);
-            state.exchange.is_some() && idle > tracked.stall_timeout
+            state.exchange.is_some() && !state.is_waiting && idle > tracked.stall_timeout
         };
         let stalled: Vec<_> = live.into_iter().filter(is_stalled).collect();
         stalled.iter().for_each(|tracked| tracked.abandon(body_error::BodyError::Stalled));
@@ -193,12 +252,14 @@
         let is_last = exchange.incoming.is_end_stream();
         let result = match polled {
             task::Poll::Pending => {
+                state.record_wait();
                 drop(state);
                 std::task::ready!(this.timer.poll_stalled(cx));
                 Some(Err(body_error::BodyError::Stalled))
             }
             task::Poll::Ready(frame) => {
-                state.last_progress = exchange.slot.now();
+                let now = exchange.slot.now();
+                state.record_progress(now);
                 drop(state);
                 this.timer.reset();
                 frame.map(|f| f.map_err(|_| body_error::BodyError::Truncated))
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -62,7 +62,7 @@
             outstanding.learn_size(context.response_key(), response.body().exact_size());
         }
         let response = track(response, outstanding, context.deadline);
-        let held = self.hold_response(context, response).await;
+        let held = self.hold_response(context, response, options.may_retry).await;
         let response = held.map_err(retry::AttemptEnd::MayHaveRun)?;
         // Includes the time for which the response was held: every response that is held for longer
         // than the usual time to a head would be hedged otherwise.
@@ -128,9 +128,9 @@
             return Err(end);
         }
         hop::strip_internal_headers(response.headers_mut());
-        let stall = context.route_match.service.stall;
+        let timer = stall_timeout::StallTimer::for_response(context.deadline);
         let response = response.map(|incoming| {
-            UntrackedBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, stall))
+            UntrackedBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, timer))
         });
         Ok(mark_dependency_error(response, report.dependency_failed))
     }
--- a/crates/transport/src/ingress/hold.rs
+++ b/crates/transport/src/ingress/hold.rs
@@ -2,9 +2,11 @@
 
 use std::time;
 
+use bytes::Bytes;
 use http::header;
 use http_body::Body;
 use http_body_util::BodyExt;
+use hyper::body as hyper_body;
 use lynxmast_state::byte_budget;
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
@@ -15,12 +17,14 @@
 use crate::held_body;
 use crate::ingress;
 use crate::read_ahead_body;
+use crate::stall_timeout;
 
 type Response<C> = http::Response<body::ResponseBody<C>>;
 
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Holds a response of known length as far as the byte budget and the time of the request allow.
-    /// Other responses, and what arrives after that time, are streamed.
+    /// Other responses, and what arrives after that time, are streamed. If another attempt may follow,
+    /// the response is given up once its upstream was silent for the service's stall timeout.
     ///
     /// # Errors
     ///
@@ -29,6 +33,7 @@
         &self,
         context: &ingress::RequestContext,
         response: Response<C>,
+        may_retry: bool,
     ) -> Result<Response<C>, outcome::Failure> {
         if response.body().is_end_stream() {
             return Ok(response.map(|_| body::ResponseBody::Empty));
@@ -38,14 +43,15 @@
         let Some(size) = size else { return Ok(response.map(|body| self.read_ahead(body))) };
         let started = self.shared.now();
         let service = &context.route_match.service.name;
+        let stall = may_retry.then_some(context.route_match.service.stall);
         let objective_left = context.objective_remaining(started);
         let time_left = context.deadline.saturating_duration_since(started);
         let plan = self.shared.with_traffic(service, |traffic| {
             traffic.speed.plan(size, objective_left, time_left, started)
         });
-        let longest = match plan {
-            response_hold::Plan::Hold => None,
-            response_hold::Plan::HoldFor(longest) => Some(longest),
+        let until = match plan {
+            response_hold::Plan::Hold => context.deadline + stall_timeout::LATE_PAUSE_MAX,
+            response_hold::Plan::HoldFor(longest) => started + longest,
             response_hold::Plan::Stream => {
                 count("slow");
                 return Ok(response.map(|body| self.read_ahead(body)));
@@ -60,7 +66,7 @@
         };
         let (parts, body) = response.into_parts();
         let mut reading = Reading { buffer: Vec::with_capacity(size as usize), body };
-        let end = reading.read(size, longest).await;
+        let end = reading.read(size, until, stall).await;
         let now = self.shared.now();
         let elapsed = now.saturating_duration_since(started);
         let read = reading.buffer.len() as u64;
@@ -106,21 +112,25 @@
 }
 
 impl<C: clock::Clock> Reading<C> {
-    /// Reads a body of `size` bytes for at most `longest`.
+    /// Reads a body of `size` bytes, at the latest `until` that time and with pauses of at most `stall`.
     async fn read(
         &mut self,
         size: u64,
-        longest: Option<time::Duration>,
+        until: time::Instant,
+        stall: Option<time::Duration>,
     ) -> Result<ReadEnd, body_error::BodyError> {
-        let Some(longest) = longest else { return self.read_all(size).await };
-        match tokio::time::timeout(longest, self.read_all(size)).await {
+        match tokio::time::timeout_at(until.into(), self.read_all(size, stall)).await {
             Ok(result) => result,
             Err(_) => Ok(ReadEnd::OutOfTime),
         }
     }
 
-    async fn read_all(&mut self, size: u64) -> Result<ReadEnd, body_error::BodyError> {
-        while let Some(frame) = self.body.frame().await {
+    async fn read_all(
+        &mut self,
+        size: u64,
+        stall: Option<time::Duration>,
+    ) -> Result<ReadEnd, body_error::BodyError> {
+        while let Some(frame) = self.next_frame(stall).await {
             if let Ok(data) = frame?.into_data() {
                 self.buffer.extend_from_slice(&data);
             }
@@ -128,6 +138,20 @@
         let is_complete = self.buffer.len() as u64 == size;
         is_complete.then_some(ReadEnd::Complete).ok_or(body_error::BodyError::Truncated)
     }
+
+    async fn next_frame(
+        &mut self,
+        stall: Option<time::Duration>,
+    ) -> Option<Result<hyper_body::Frame<Bytes>, body_error::BodyError>> {
+        let Some(stall) = stall else { return self.body.frame().await };
+        match tokio::time::timeout(stall, self.body.frame()).await {
+            Ok(frame) => frame,
+            Err(_) => {
+                self.body.record_failure();
+                Some(Err(body_error::BodyError::Stalled))
+            }
+        }
+    }
 }
 
 fn failure(error: body_error::BodyError) -> outcome::Failure {
--- a/crates/transport/src/result_recorder.rs
+++ b/crates/transport/src/result_recorder.rs
@@ -8,32 +8,48 @@
 
 use crate::upstream;
 
-/// Records the result of a request in flight at an upstream. A request that takes far longer than
-/// the mean service time is counted as failed while still in flight; if it succeeds later, the
-/// success is recorded as well. Dropping the recorder without a result records nothing.
+/// Records the result of a request in flight at an upstream. A request that waits for the upstream far
+/// longer than the mean service time is counted as failed while still in flight; if it succeeds later,
+/// the success is recorded as well. A request is counted as failed at most once. Dropping the recorder
+/// without a result records nothing.
 #[derive(Debug)]
 pub struct ResultRecorder<C: clock::Clock> {
     upstream: sync::Arc<upstream::Upstream<C>>,
-    number: u64,
+    /// Number among the requests that wait for the upstream; `None` while this one does not.
+    waiting: Option<u64>,
+    /// Whether a failure has been counted.
+    is_failed: bool,
 }
 
 impl<C: clock::Clock> ResultRecorder<C> {
     /// Starts recording when a request is forwarded.
     pub fn start(upstream: &sync::Arc<upstream::Upstream<C>>) -> Self {
-        Self { upstream: upstream.clone(), number: upstream.start_request() }
+        let waiting = Some(upstream.start_request());
+        Self { upstream: upstream.clone(), waiting, is_failed: false }
     }
 
-    /// Records whether the request succeeded.
+    /// Records whether the request succeeded. A response that has succeeded with its head may still
+    /// fail within its body.
     pub fn record(&mut self, success: bool) {
-        let was_pending = self.upstream.end_request(self.number);
-        if was_pending || success {
+        self.pause();
+        if success || !self.is_failed {
             self.upstream.record_result(success);
         }
+        self.is_failed |= !success;
     }
 
-    /// Ends the recording without a result.
-    pub fn cancel(&mut self) {
-        self.upstream.end_request(self.number);
+    /// Records that the request does not wait for the upstream at present.
+    pub fn pause(&mut self) {
+        if let Some(number) = self.waiting.take() {
+            self.is_failed |= !self.upstream.end_request(number);
+        }
+    }
+
+    /// Records that the request waits for the upstream, unless it does already.
+    pub fn resume(&mut self) {
+        if self.waiting.is_none() && !self.is_failed {
+            self.waiting = Some(self.upstream.start_request());
+        }
     }
 
     /// Records the end of a request without a response; counts as a failure only if the upstream is
@@ -44,13 +60,13 @@
             retry::AttemptEnd::MayHaveRun(BadResponse | ConnectionLost | Stalled | Truncated) => {
                 self.record(false);
             }
-            _ => self.cancel(),
+            _ => self.pause(),
         }
     }
 }
 
 impl<C: clock::Clock> Drop for ResultRecorder<C> {
     fn drop(&mut self) {
-        self.cancel();
+        self.pause();
     }
 }
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -251,7 +251,7 @@
         let is_error = response.status().is_server_error();
         observed.dependency_failed = is_error && self.may_be_dependency_error(self.shared.now());
         if observed.dependency_failed {
-            recorder.cancel();
+            recorder.pause();
         } else {
             recorder.record(!is_error);
         }
@@ -259,7 +259,8 @@
         hop::strip_hop_by_hop_headers(&mut parts.headers);
         hop::strip_internal_headers(&mut parts.headers);
         let exchange = exchange::Exchange { incoming, connection, slot, returned_id };
-        let body = exchange.into_body(stall, self.shared.now(), &self.stall_monitor);
+        let limits = exchange::BodyLimits { stall, deadline };
+        let body = exchange.into_body(recorder, limits, &self.stall_monitor);
         Ok(http::Response::from_parts(parts, body))
     }
 
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -64,7 +64,8 @@
         let service = policy.service(&envelope.upstream.service);
         let stall = service.map_or(envelope.time_left, |service| service.stall);
         let request = request.map(|incoming| {
-            bodies::RequestBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, stall))
+            let timer = stall_timeout::StallTimer::new(stall);
+            bodies::RequestBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, timer))
         });
         let attempt = self.sidecar.serve(&envelope, request).await;
         let mut response = match attempt.result {
--- a/crates/transport/src/stall_timeout.rs
+++ b/crates/transport/src/stall_timeout.rs
@@ -15,13 +15,25 @@
 #[derive(Debug)]
 pub struct StallTimer {
     timeout: time::Duration,
+    /// Time before which it does not expire.
+    earliest: Option<time::Instant>,
     sleep: Option<pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
+/// Longest pause within a response after the deadline of its request. A pause before the deadline may
+/// last until then. It covers a lost packet, which TCP sends again after 200 ms.
+pub const LATE_PAUSE_MAX: time::Duration = time::Duration::from_millis(400);
+
 impl StallTimer {
     /// Creates a timer that expires after `timeout` without progress.
     pub fn new(timeout: time::Duration) -> Self {
-        Self { timeout, sleep: None }
+        Self { timeout, earliest: None, sleep: None }
+    }
+
+    /// Creates the timer of a response. It expires at the `deadline` of the request, or later once
+    /// there has been no progress for [`LATE_PAUSE_MAX`].
+    pub fn for_response(deadline: time::Instant) -> Self {
+        Self { timeout: LATE_PAUSE_MAX, earliest: Some(deadline), sleep: None }
     }
 
     /// Restarts the timer after progress.
@@ -32,8 +44,12 @@
     /// Polls the timer while the body is pending; ready once the timeout has passed without
     /// progress.
     pub fn poll_stalled(&mut self, cx: &mut task::Context<'_>) -> task::Poll<()> {
-        let timeout = self.timeout;
-        let sleep = self.sleep.get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        let (timeout, earliest) = (self.timeout, self.earliest);
+        let sleep = self.sleep.get_or_insert_with(|| {
+            let expiry = tokio::time::Instant::now() + timeout;
+            let expiry = earliest.map_or(expiry, |earliest| expiry.max(earliest.into()));
+            Box::pin(tokio::time::sleep_until(expiry))
+        });
         sleep.as_mut().poll(cx)
     }
 }
@@ -46,9 +62,9 @@
 }
 
 impl StallTimeoutBody {
-    /// Wraps `inner` with a stall timeout.
-    pub fn new(inner: body::Incoming, timeout: time::Duration) -> Self {
-        Self { inner, timer: StallTimer::new(timeout) }
+    /// Wraps `inner`, which fails when `timer` expires.
+    pub fn new(inner: body::Incoming, timer: StallTimer) -> Self {
+        Self { inner, timer }
     }
 }
 
