Acknowledge a departure once the store has it, and learn it at a start

Cause: a departure was kept only in the daemon and in the membership records of its peers, which learn of it with the next gossip round, and a new process registered instances before it knew what its predecessor had acknowledged.

The daemon's record in the store's registry now holds its departures. They take effect at once and are acknowledged once they are stored (503 after 0.8 s otherwise). A start reads the registry anyway; until it has, or if the store was restored since the record was written, instances are registered only once late heartbeats can no longer arrive. This costs one append per departure.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -1,5 +1,5 @@
-//! Discovery of other daemons through a registry outside the fleet, for daemons that know no other
-//! live member.
+//! Registry outside the fleet: daemons that know no other live member find others in it, and it keeps what
+//! binds the next process of a daemon.
 
 use std::future;
 use std::net;
@@ -8,51 +8,66 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::ids;
+use lynxmast_state::member;
 use lynxmast_state::shared_state;
+use lynxmast_transport::departure_tracker;
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
 use crate::platform_log;
 
 lynxmast_state::value! {
-    /// Address of one daemon for control messages.
+    /// Registration of one daemon.
     #[derive(Eq)]
-    pub struct Endpoint {
+    pub struct Registration {
         /// Name of the daemon.
         pub daemon: ids::DaemonName,
         /// Address for control messages.
         pub control: net::SocketAddr,
+        /// Backend servers on the daemon's VM whose departures it has acknowledged, or is about to.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub departed: Vec<member::Departure>,
+        /// Newest epoch of the registry known to the daemon when it registered; 0 if unknown.
+        #[serde(default)]
+        pub epoch: ids::SourceEpoch,
+    }
+}
+
+impl Registration {
+    /// Returns whether the registry has what `newer` is to tell it. Its epoch is not worth a call.
+    fn covers(&self, newer: &Registration) -> bool {
+        self.control == newer.control && newer.departed.iter().all(|d| self.departed.contains(d))
     }
 }
 
 /// Contents of the registry.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Directory {
-    /// Registered endpoints.
-    pub endpoints: Vec<Endpoint>,
+    /// Registrations of all daemons.
+    pub registrations: Vec<Registration>,
     /// Epoch of the registry that holds them; 0 if unknown.
     pub epoch: ids::SourceEpoch,
 }
 
-/// Registry outside the fleet that keeps one endpoint per daemon.
+/// Registry outside the fleet that keeps one registration per daemon.
 pub trait Discovery: Send + Sync + 'static {
-    /// Registers the endpoint of a daemon, replacing an earlier one. Returns the epoch of the
-    /// registry that holds it; 0 if unknown.
+    /// Registers a daemon, replacing an earlier registration. Returns the epoch of the registry that
+    /// holds it; 0 if unknown.
     ///
     /// # Errors
     ///
-    /// Fails when the registry does not respond; the endpoint may have been registered anyway.
+    /// Fails when the registry does not respond; the daemon may have been registered anyway.
     fn register(
         &self,
-        endpoint: &Endpoint,
+        registration: &Registration,
     ) -> impl future::Future<Output = Result<ids::SourceEpoch, platform_log::PlatformError>> + Send;
 
-    /// Returns all registered endpoints, which may include those of daemons that are gone.
+    /// Returns all registrations, which may include those of daemons that are gone.
     ///
     /// # Errors
     ///
     /// Fails when the registry does not respond or its response is malformed.
-    fn endpoints(
+    fn registrations(
         &self,
     ) -> impl future::Future<Output = Result<Directory, platform_log::PlatformError>> + Send;
 }
@@ -60,16 +75,18 @@
 /// Addresses of daemons that gossip contacts in addition to the known members.
 pub type Seeds = sync::Arc<sync::Mutex<Vec<net::SocketAddr>>>;
 
-/// Registers a daemon at its first start, and again if a restore of the registry has lost the
-/// endpoint. Looks up seeds at the start and whenever no other daemon is live.
+/// Registers a daemon at its first start, when a backend server departs, and again if a restore of the
+/// registry has lost the registration. Looks up seeds at the start and whenever no other daemon is live.
 #[derive(Debug)]
 pub struct Bootstrap<C: clock::Clock, D: Discovery> {
     /// State shared by all parts of the daemon.
     pub shared: sync::Arc<shared_state::SharedState<C>>,
-    /// Registry of the daemons' endpoints.
+    /// Registry of the daemons.
     pub discovery: D,
     /// Seeds to update.
     pub seeds: Seeds,
+    /// Departures to store.
+    pub departures: sync::Arc<departure_tracker::DepartureTracker>,
 }
 
 /// Backoff after the first failed call; doubles with each further one up to [`BACKOFF_MAX`].
@@ -86,58 +103,76 @@
 /// Time over which the daemons spread their calls after a restore of the registry, which limits the
 /// calls that it accepts per second.
 const RESTORE_SPREAD: time::Duration = time::Duration::from_millis(1500);
+/// Epoch of a registry that has never been restored.
+const EPOCH_FIRST: ids::SourceEpoch = 1;
 
 impl<C: clock::Clock, D: Discovery> Bootstrap<C, D> {
-    /// Looks up seeds and registers this daemon's endpoint. Then keeps the endpoint registered, and
-    /// looks up seeds again whenever no other daemon is live, until `stop` is cancelled.
+    /// Looks up seeds, learns what earlier processes of the daemon have registered, and registers this
+    /// one. Then keeps the registration, and looks up seeds again whenever no other daemon is live, until
+    /// `stop` is cancelled.
     pub async fn run(self, stop: CancellationToken) {
-        let own = {
-            let membership = self.shared.membership();
-            let own = membership.own_record();
-            Endpoint { daemon: own.daemon.clone(), control: own.control }
-        };
         let mut backoff = BACKOFF_MIN;
         let registered = loop {
-            match self.join(&own).await {
+            match self.join().await {
                 Ok(epoch) => break epoch,
-                Err(error) => {
-                    log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
-                }
+                Err(error) => log_failure(error),
             }
-            let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
-            if stop.run_until_cancelled(tokio::time::sleep(jittered)).await.is_none() {
+            if stop.run_until_cancelled(wait_jittered(backoff)).await.is_none() {
                 return;
             }
             backoff = (backoff * 2).min(BACKOFF_MAX);
         };
-        stop.run_until_cancelled(self.maintain(&own, registered)).await;
+        stop.run_until_cancelled(self.maintain(registered)).await;
     }
 
-    /// Keeps the endpoint registered, and looks up seeds while no other daemon is live. `registered`
-    /// is the epoch of the registry that holds the endpoint.
-    async fn maintain(&self, own: &Endpoint, mut registered: ids::SourceEpoch) {
+    /// Keeps the daemon registered with all its departures, and looks up seeds while no other daemon is
+    /// live. `registered` is the epoch of the registry that holds the registration.
+    async fn maintain(&self, mut registered: ids::SourceEpoch) {
         let mut checks = 0_u32;
+        let mut next_check = tokio::time::Instant::now() + CHECK_INTERVAL;
+        let mut backoff = BACKOFF_MIN;
         loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            let is_departure = tokio::select! {
+                () = tokio::time::sleep_until(next_check) => false,
+                () = self.departures.await_unstored() => true,
+            };
+            if is_departure {
+                match self.register(registered).await {
+                    Ok(epoch) => {
+                        registered = registered.max(epoch);
+                        backoff = BACKOFF_MIN;
+                    }
+                    Err(error) => {
+                        log_failure(error);
+                        wait_jittered(backoff).await;
+                        backoff = (backoff * 2).min(BACKOFF_MAX);
+                    }
+                }
+                continue;
+            }
+            next_check = tokio::time::Instant::now() + CHECK_INTERVAL;
             checks = checks.wrapping_add(1);
+            if self.shared.membership().has_history() {
+                self.departures.mark_known();
+            }
             let newest = self.adopt_epoch();
             let is_alone =
                 self.shared.membership().live_records(self.shared.now()).nth(1).is_none();
             let result = if newest > registered {
                 let delay = rand::rng().random_range(time::Duration::ZERO..RESTORE_SPREAD);
                 tokio::time::sleep(delay).await;
-                let repaired = self.repair_registration(own).await;
+                let repaired = self.repair_registration().await;
                 // A registry that does not state its epoch is assumed to have the newest one.
                 repaired.map(|epoch| registered = if epoch == 0 { newest } else { epoch })
             } else if is_alone
                 && (checks == CHECKS_FIRST || checks.is_multiple_of(CHECKS_PER_LOOKUP))
             {
-                self.refresh_seeds(own).await.map(drop)
+                self.refresh_seeds().await.map(drop)
             } else {
                 Ok(())
             };
             if let Err(error) = result {
-                log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
+                log_failure(error);
             }
         }
     }
@@ -151,45 +186,118 @@
         newest
     }
 
-    /// Registers the endpoint again if the registry has lost it. Returns the epoch of the registry
-    /// that holds it.
-    async fn repair_registration(
+    /// Registers the daemon again if the registry has lost its registration. Returns the epoch of the
+    /// registry that holds it.
+    async fn repair_registration(&self) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        let directory = self.refresh_seeds().await?;
+        self.complete_registration(&directory).await
+    }
+
+    /// Looks up seeds, learns the departures that earlier processes of the daemon have registered, and
+    /// completes the registration. Returns the epoch of the registry that holds it.
+    async fn join(&self) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        let directory = self.refresh_seeds().await?;
+        self.learn_departures(&directory);
+        let epoch = self.complete_registration(&directory).await?;
+        if directory.registrations.is_empty() {
+            // Of the first daemons that start at the same time, at least one finds the others.
+            self.refresh_seeds().await?;
+        }
+        Ok(epoch)
+    }
+
+    /// Takes over the departures in the daemon's registration. They are all that were acknowledged if the
+    /// registry was not restored from an older copy since, in which case its epoch would be newer.
+    fn learn_departures(&self, directory: &Directory) {
+        let found = self.find_own(directory);
+        let is_complete = match found {
+            Some(found) => found.epoch >= directory.epoch,
+            None => directory.epoch <= EPOCH_FIRST,
+        };
+        let departed = found.into_iter().flat_map(|found| &found.departed);
+        let mut membership = self.shared.membership();
+        for departure in departed {
+            let _ = membership.record_departure(departure.clone());
+        }
+        drop(membership);
+        if is_complete {
+            self.departures.mark_known();
+        } else {
+            log::warn!(
+                event = "directory",
+                epoch = directory.epoch;
+                "the registration may lack departures since a restore"
+            );
+        }
+    }
+
+    /// Registers the daemon unless the directory has all of its registration. Returns the epoch of the
+    /// registry that holds it.
+    async fn complete_registration(
         &self,
-        own: &Endpoint,
+        directory: &Directory,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
-        let directory = self.refresh_seeds(own).await?;
-        if directory.endpoints.contains(own) {
+        let recorded = self.departures.recorded();
+        let wanted = self.own_registration(directory.epoch);
+        if self.find_own(directory).is_some_and(|found| found.covers(&wanted)) {
+            self.departures.mark_stored(recorded);
             return Ok(directory.epoch);
         }
-        log::info!(event = "directory"; "registering the endpoint again after a restore");
-        self.discovery.register(own).await
+        self.register(directory.epoch).await
     }
 
-    /// Looks up seeds, and registers the endpoint unless an earlier process of the daemon has done
-    /// so. Returns the epoch of the registry that holds it.
-    async fn join(&self, own: &Endpoint) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
-        let directory = self.refresh_seeds(own).await?;
-        if directory.endpoints.contains(own) {
-            return Ok(directory.epoch);
-        }
-        let epoch = self.discovery.register(own).await?;
-        if directory.endpoints.is_empty() {
-            // Of the first daemons that start at the same time, at least one finds the others.
-            self.refresh_seeds(own).await?;
-        }
+    /// Registers the daemon with its departures, in a registry of at least `epoch`. Returns the epoch of
+    /// the registry that holds the registration.
+    async fn register(
+        &self,
+        epoch: ids::SourceEpoch,
+    ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+        // Departures that are counted here are in the membership record that is read next.
+        let recorded = self.departures.recorded();
+        let registration = self.own_registration(epoch);
+        let epoch = self.discovery.register(&registration).await?;
+        self.departures.mark_stored(recorded);
+        log::info!(
+            event = "directory",
+            departed = registration.departed.len(),
+            epoch;
+            "registered this daemon"
+        );
         Ok(epoch)
     }
 
-    /// Looks up the registered endpoints and takes those of the other daemons as seeds.
-    async fn refresh_seeds(
-        &self,
-        own: &Endpoint,
-    ) -> Result<Directory, platform_log::PlatformError> {
-        let directory = self.discovery.endpoints().await?;
-        let others = directory.endpoints.iter().filter(|endpoint| endpoint.control != own.control);
-        let others: Vec<net::SocketAddr> = others.map(|endpoint| endpoint.control).collect();
+    /// Returns the daemon's registration for a registry of at least `epoch`.
+    fn own_registration(&self, epoch: ids::SourceEpoch) -> Registration {
+        let membership = self.shared.membership();
+        let epoch = epoch.max(membership.source_epoch());
+        let own = membership.own_record();
+        let (daemon, departed) = (own.daemon.clone(), own.departed.clone());
+        Registration { daemon, control: own.control, departed, epoch }
+    }
+
+    fn find_own<'a>(&self, directory: &'a Directory) -> Option<&'a Registration> {
+        let own = self.shared.membership().own_record().daemon.clone();
+        directory.registrations.iter().find(|registration| registration.daemon == own)
+    }
+
+    /// Looks up the registrations and takes the addresses of the other daemons as seeds.
+    async fn refresh_seeds(&self) -> Result<Directory, platform_log::PlatformError> {
+        let directory = self.discovery.registrations().await?;
+        let own = self.shared.membership().own_record().control;
+        let controls = directory.registrations.iter().map(|registration| registration.control);
+        let others: Vec<net::SocketAddr> = controls.filter(|control| *control != own).collect();
         log::info!(event = "directory", others = others.len(); "looked up other daemons");
         *self.seeds.lock().unwrap_or_else(sync::PoisonError::into_inner) = others;
         Ok(directory)
     }
 }
+
+/// Waits for half of `backoff` to all of it.
+async fn wait_jittered(backoff: time::Duration) {
+    let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
+    tokio::time::sleep(jittered).await;
+}
+
+fn log_failure(error: platform_log::PlatformError) {
+    log::warn!(event = "directory", reason:% = error; "registration or lookup failed");
+}
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -134,6 +134,7 @@
         let options = sidecar::BackendOptions {
             header_scheme: platform.header_scheme(),
             heartbeat_interval: settings.heartbeat,
+            has_registry: true,
         };
         let PreparedDaemon { daemon, ports } =
             PreparedDaemon::open(&settings, clock, options).await?;
@@ -229,8 +230,12 @@
         let seeds = discovery::Seeds::default();
         let peers = self.start_membership(settings, seeds.clone(), control_port);
         let shared = &self.shared;
-        let bootstrap =
-            discovery::Bootstrap { shared: shared.clone(), discovery: platform.discovery(), seeds };
+        let bootstrap = discovery::Bootstrap {
+            shared: shared.clone(),
+            discovery: platform.discovery(),
+            seeds,
+            departures: self.sidecar.departures.clone(),
+        };
         self.tasks.spawn(bootstrap.run(self.stop.clone()));
         let monitor = restore_monitor::RestoreMonitor {
             shared: shared.clone(),
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -39,12 +39,13 @@
         #[serde(default)]
         pub source_epoch: ids::SourceEpoch,
         /// Backend servers on the daemon's VM that left last. The daemon's next process learns them
-        /// from its peers.
+        /// from its peers, and from the registry outside the fleet if there is one.
         #[serde(default)]
         pub departed: Vec<Departure>,
     }
 
     /// Departure of a backend server.
+    #[derive(Eq)]
     pub struct Departure {
         /// Name of the backend server.
         pub instance: ids::InstanceName,
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -94,6 +94,11 @@
         self.skip_pause(now);
         let mut changes = Vec::new();
         self.is_synced |= message.is_full;
+        let started_before = |digest: &member::Digest| {
+            digest.incarnation + membership::HISTORY_AGE_MIN_MS < self.own_record.incarnation
+        };
+        // The only digest in a full reply is the sender's.
+        self.has_history |= message.is_full && message.digests.iter().any(started_before);
         let mut superseded = Vec::new();
         for record in &message.records {
             superseded.extend(self.merge(record, now, &mut changes));
@@ -171,7 +176,7 @@
             self.update_own_record(|_| ());
         }
         for departure in &record.departed {
-            self.record_departure(departure.clone());
+            let _ = self.record_departure(departure.clone());
         }
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body_gate;
 pub mod client;
 pub mod cutoff;
+pub mod departure_tracker;
 pub mod error_response;
 pub mod exchange;
 pub mod guarded_body;
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -20,6 +20,7 @@
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::admission;
 use lynxmast_state::clock;
+use lynxmast_state::departure_history;
 use lynxmast_state::event;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
@@ -33,6 +34,7 @@
 use lynxmast_state::upstream_budget;
 
 use crate::body;
+use crate::departure_tracker;
 use crate::exchange;
 use crate::hop;
 use crate::pool;
@@ -56,6 +58,9 @@
     /// Time without a heartbeat after which a backend server counts as gone.
     lease_duration: time::Duration,
     departed: sync::Mutex<departed::Departed>,
+    /// Progress of the departures that the daemon keeps beyond its process.
+    pub departures: sync::Arc<departure_tracker::DepartureTracker>,
+    history: departure_history::DepartureHistory,
     /// When a request sent from this VM last failed. It may have been the call of a local backend
     /// server to a dependency, made while serving a request; the backend server then responds with
     /// an error, which is no evidence that it is failing itself.
@@ -77,6 +82,8 @@
     pub header_scheme: sync::Arc<header_scheme::HeaderScheme>,
     /// Time between heartbeats of a backend server.
     pub heartbeat_interval: time::Duration,
+    /// Whether the daemon stores departures in a registry outside the fleet.
+    pub has_registry: bool,
 }
 
 /// Default time between heartbeats of a backend server.
@@ -87,7 +94,11 @@
 
 impl Default for BackendOptions {
     fn default() -> Self {
-        Self { header_scheme: Default::default(), heartbeat_interval: HEARTBEAT_INTERVAL }
+        Self {
+            header_scheme: Default::default(),
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            has_registry: false,
+        }
     }
 }
 
@@ -121,6 +132,10 @@
 impl<C: clock::Clock> Sidecar<C> {
     /// Creates a sidecar without upstreams.
     pub fn new(shared: sync::Arc<shared_state::SharedState<C>>, options: BackendOptions) -> Self {
+        let lease_duration = options.heartbeat_interval * HEARTBEATS_MISSED_MAX;
+        let (started, wall) = (shared.now(), shared.clock.wall());
+        let history = departure_history::DepartureHistory::new(started, wall, lease_duration);
+        let departures = departure_tracker::DepartureTracker::new(options.has_registry);
         Self {
             shared,
             upstreams: Default::default(),
@@ -128,9 +143,11 @@
             policy_refresh: Default::default(),
             quota_signals: Default::default(),
             header_scheme: options.header_scheme,
-            lease_duration: options.heartbeat_interval * HEARTBEATS_MISSED_MAX,
+            lease_duration,
             heartbeat_interval: options.heartbeat_interval,
             departed: Default::default(),
+            departures: sync::Arc::new(departures),
+            history,
             last_call_failure: Default::default(),
             parents: Default::default(),
             last_held_back: Default::default(),
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -16,6 +16,10 @@
 use crate::sidecar::departed;
 use crate::upstream;
 
+/// Time for which the response to a heartbeat or departure waits for the registry. A backend server waits
+/// for at most a second.
+const REGISTRY_WAIT_MAX: time::Duration = time::Duration::from_millis(800);
+
 impl<C: clock::Clock> sidecar::Sidecar<C> {
     /// Processes an announcement or heartbeat of a local backend server and renews its lease.
     ///
@@ -57,19 +61,53 @@
         if self.has_departed(instance, announcement.incarnation) {
             return Err(format!("'{instance}' has announced its departure"));
         }
+        if !self.unknown_history(announcement.incarnation).is_zero() {
+            return Err(format!("'{instance}' may have departed before this process started"));
+        }
         Ok(())
     }
 
+    /// Returns the time for which an incarnation may not be registered, as it may have departed from an
+    /// earlier process of the daemon.
+    fn unknown_history(&self, incarnation: ids::Incarnation) -> time::Duration {
+        match self.departures.is_known() {
+            true => time::Duration::ZERO,
+            false => self.history.wait(incarnation, self.shared.now()),
+        }
+    }
+
+    /// Waits a short time for the departures that earlier processes of the daemon have acknowledged, if
+    /// `incarnation` may be among them.
+    pub async fn await_history(&self, incarnation: ids::Incarnation) {
+        let wait = self.unknown_history(incarnation).min(REGISTRY_WAIT_MAX);
+        if !wait.is_zero() {
+            self.departures.await_known(wait).await;
+        }
+    }
+
+    /// Waits a short time until the registry has all recorded departures, so that they bind the next
+    /// process of the daemon whatever happens to this one and to its peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the registry does not have them in time; they must not be acknowledged then.
+    pub async fn await_stored_departures(&self) -> Result<(), String> {
+        let is_stored = self.departures.await_stored(REGISTRY_WAIT_MAX).await;
+        is_stored.then_some(()).ok_or_else(|| "the departure is not stored yet".into())
+    }
+
     fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
         self.departed().contains(instance, incarnation)
             || self.shared.membership().has_departed(instance, incarnation)
     }
 
-    /// Records a departure for this process, and in the membership for the next one.
+    /// Records a departure for this process, and in the membership and the registry for the next one.
     fn record_departure(&self, instance: &ids::InstanceName, incarnation: ids::Incarnation) {
         self.departed().record(instance, incarnation);
         let departure = member::Departure { instance: instance.clone(), incarnation };
-        self.shared.membership().record_departure(departure);
+        if self.shared.membership().record_departure(departure) {
+            self.departures.count();
+        }
     }
 
     fn departed(&self) -> sync::MutexGuard<'_, departed::Departed> {
