Rely on no peer for departures after a restore of the store

After a restore, a daemon now waits until late heartbeats can no longer arrive, then registers again with the newer epoch, so that only its first restart waits. Until then its registration states no epoch, so that another process does not take it for complete.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -27,7 +27,8 @@
         /// Backend servers on the daemon's VM whose departures it has acknowledged, or is about to.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub departed: Vec<member::Departure>,
-        /// Newest epoch of the registry known to the daemon when it registered; 0 if unknown.
+        /// Epoch of the registry known to the daemon when it registered. 0 if unknown, and while the
+        /// registration may lack departures that an earlier process has acknowledged.
         #[serde(default)]
         pub epoch: ids::SourceEpoch,
     }
@@ -128,6 +129,7 @@
     /// Keeps the daemon registered with all its departures, and looks up seeds while no other daemon is
     /// live. `registered` is the epoch of the registry that holds the registration.
     async fn maintain(&self, mut registered: ids::SourceEpoch) {
+        let mut is_incomplete = !self.departures.is_known();
         let mut checks = 0_u32;
         let mut next_check = tokio::time::Instant::now() + CHECK_INTERVAL;
         let mut backoff = BACKOFF_MIN;
@@ -152,9 +154,6 @@
             }
             next_check = tokio::time::Instant::now() + CHECK_INTERVAL;
             checks = checks.wrapping_add(1);
-            if self.shared.membership().has_history() {
-                self.departures.mark_known();
-            }
             let newest = self.adopt_epoch();
             let is_alone =
                 self.shared.membership().live_records(self.shared.now()).nth(1).is_none();
@@ -164,6 +163,12 @@
                 let repaired = self.repair_registration().await;
                 // A registry that does not state its epoch is assumed to have the newest one.
                 repaired.map(|epoch| registered = if epoch == 0 { newest } else { epoch })
+            } else if is_incomplete && self.departures.is_known() {
+                let completed = self.register(registered).await;
+                completed.map(|epoch| {
+                    registered = registered.max(epoch);
+                    is_incomplete = false;
+                })
             } else if is_alone
                 && (checks == CHECKS_FIRST || checks.is_multiple_of(CHECKS_PER_LOOKUP))
             {
@@ -269,7 +274,8 @@
     /// Returns the daemon's registration for a registry of at least `epoch`.
     fn own_registration(&self, epoch: ids::SourceEpoch) -> Registration {
         let membership = self.shared.membership();
-        let epoch = epoch.max(membership.source_epoch());
+        let newest = epoch.max(membership.source_epoch());
+        let epoch = if self.departures.is_known() { newest } else { 0 };
         let own = membership.own_record();
         let (daemon, departed) = (own.daemon.clone(), own.departed.clone());
         Registration { daemon, control: own.control, departed, epoch }
--- a/crates/state/src/departure_history.rs
+++ b/crates/state/src/departure_history.rs
@@ -53,6 +53,11 @@
         }
         self.delay_max.saturating_sub(now.saturating_duration_since(self.started))
     }
+
+    /// Returns whether no heartbeat can arrive any more that was sent before the process started.
+    pub fn is_over(&self, now: time::Instant) -> bool {
+        now.saturating_duration_since(self.started) >= self.delay_max
+    }
 }
 
 #[cfg(test)]
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -33,8 +33,6 @@
     generation: u64,
     /// Whether a peer has sent all its records.
     is_synced: bool,
-    /// Whether a peer that started long before this daemon has.
-    has_history: bool,
     /// Number of coming ticks with an urgent round.
     urgent_ticks: u32,
     /// Number of coming ticks in which the daemon counts as starting.
@@ -76,9 +74,6 @@
 pub const TICKS_PER_HEARTBEAT: u32 = 20;
 /// Number of ticks after a new policy version or source epoch with an urgent round.
 const NEWS_URGENT_TICKS: u32 = 4;
-/// Time in milliseconds by which a peer must have started before this daemon to have learned what an
-/// earlier process of it had recorded.
-const HISTORY_AGE_MIN_MS: u64 = 2000;
 /// Maximum number of departed backend servers in a daemon's record; a VM runs few.
 const DEPARTED_MAX: usize = 16;
 /// Time without a heartbeat after which a daemon's record is removed. The record of a daemon that
@@ -96,7 +91,6 @@
             digest_cursor: 0,
             generation: 1,
             is_synced: false,
-            has_history: false,
             urgent_ticks: 0,
             startup_ticks: round::STARTUP_TICKS,
             quiet_ticks: 0,
@@ -208,12 +202,6 @@
         departed.any(|known| &*known.instance == instance && incarnation <= known.incarnation)
     }
 
-    /// Returns whether a peer has sent all its records that had time to learn the departures recorded by
-    /// an earlier process of this daemon.
-    pub fn has_history(&self) -> bool {
-        self.has_history
-    }
-
     /// Marks the membership as synchronised and drops all pending updates, as if they had been
     /// sent.
     pub fn mark_synced(&mut self) {
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -94,11 +94,6 @@
         self.skip_pause(now);
         let mut changes = Vec::new();
         self.is_synced |= message.is_full;
-        let started_before = |digest: &member::Digest| {
-            digest.incarnation + membership::HISTORY_AGE_MIN_MS < self.own_record.incarnation
-        };
-        // The only digest in a full reply is the sender's.
-        self.has_history |= message.is_full && message.digests.iter().any(started_before);
         let mut superseded = Vec::new();
         for record in &message.records {
             superseded.extend(self.merge(record, now, &mut changes));
--- a/crates/transport/src/departure_tracker.rs
+++ b/crates/transport/src/departure_tracker.rs
@@ -19,7 +19,7 @@
     recorded: u64,
     /// Number of them that the registry has; `None` without a registry.
     stored: Option<u64>,
-    /// Whether the departures that earlier processes have acknowledged are known.
+    /// Whether the departures that earlier processes have acknowledged are known, or no longer matter.
     is_known: bool,
 }
 
@@ -55,12 +55,13 @@
         });
     }
 
-    /// Notes that the departures acknowledged by earlier processes are in the membership.
+    /// Notes that the departures acknowledged by earlier processes are in the membership, or that no
+    /// heartbeat can arrive any more that was sent before them.
     pub fn mark_known(&self) {
         self.progress.send_if_modified(|progress| !std::mem::replace(&mut progress.is_known, true));
     }
 
-    /// Returns whether the departures acknowledged by earlier processes are in the membership.
+    /// Returns whether the departures acknowledged by earlier processes are known, or no longer matter.
     pub fn is_known(&self) -> bool {
         self.progress.borrow().is_known
     }
@@ -78,7 +79,8 @@
         tokio::time::timeout(timeout, stored).await.is_ok()
     }
 
-    /// Waits until the departures acknowledged by earlier processes are known, for at most `timeout`.
+    /// Waits until the departures acknowledged by earlier processes are known or no longer matter, for at
+    /// most `timeout`.
     pub async fn await_known(&self, timeout: time::Duration) {
         let known = self.await_progress(|progress| progress.is_known);
         let _ = tokio::time::timeout(timeout, known).await;
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -219,6 +219,9 @@
     /// waiting requests, closes expired idle connections and abandons stalled exchanges.
     pub fn tick(&self) {
         let now = self.shared.now();
+        if self.history.is_over(now) {
+            self.departures.mark_known();
+        }
         let policy = self.shared.policy();
         let mut obsolete = Vec::new();
         let mut is_changed = false;
