Reject a heartbeat that waits while late ones begin to be accepted

A daemon that cannot read the store accepts heartbeats four intervals after its start. One that arrived up to 0.8 s earlier waited for the store and was then accepted, although it could have been sent before the departure. It is rejected now.

--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -78,10 +78,20 @@
 
     /// Waits a short time for the departures that earlier processes of the daemon have acknowledged, if
     /// `incarnation` may be among them.
-    pub async fn await_history(&self, incarnation: ids::Incarnation) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if heartbeats begin to be accepted without that knowledge meanwhile: this one
+    /// arrived before.
+    pub async fn await_history(&self, incarnation: ids::Incarnation) -> Result<(), String> {
         let wait = self.unknown_history(incarnation).min(REGISTRY_WAIT_MAX);
-        if !wait.is_zero() {
-            self.departures.await_known(wait).await;
+        if wait.is_zero() {
+            return Ok(());
+        }
+        self.departures.await_known(wait).await;
+        match self.history.is_over(self.shared.now()) {
+            true => Err("the heartbeat may have been sent before this process started".into()),
+            false => Ok(()),
         }
     }
 
