Tell peers whether a response went silent or was truncated

Cause: the ingress and the sidecar end a silent response at the same deadline. If the sidecar's timer is first, it resets the HTTP/2 stream with INTERNAL_ERROR, and the ingress takes each reset for a truncation.

--- a/crates/transport/src/stall_timeout.rs
+++ b/crates/transport/src/stall_timeout.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// An incoming body under a [`StallTimer`].
+/// A body from a peer under a [`StallTimer`].
 #[derive(Debug)]
 pub struct StallTimeoutBody {
     inner: body::Incoming,
@@ -79,7 +79,8 @@
         match pin::Pin::new(&mut self.inner).poll_frame(cx) {
             task::Poll::Ready(frame) => {
                 self.timer.reset();
-                let frame = frame.map(|f| f.map_err(|_| body_error::BodyError::Truncated));
+                let frame =
+                    frame.map(|f| f.map_err(|error| body_error::BodyError::from_peer(&error)));
                 task::Poll::Ready(frame)
             }
             task::Poll::Pending => {
