Keep departures when the store executes an earlier registration late

A daemon acknowledged a departure once the store had its registration with it. The store may execute a call that got no response seconds later, so an earlier registration, without that departure, could replace the newer one. The next process of the daemon then took a late heartbeat of the departed backend server.

Registrations now have revisions, which rise over all processes of a daemon. An append names its revision as the epoch of the daemon as a producer, so that the store discards lower ones whenever it executes them.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -9,6 +9,7 @@
 use lynxmast_state::clock;
 use lynxmast_state::ids;
 use lynxmast_state::member;
+use lynxmast_state::revision;
 use lynxmast_state::shared_state;
 use lynxmast_transport::departure_tracker;
 use rand::Rng;
@@ -31,6 +32,9 @@
         /// registration may lack departures that an earlier process has acknowledged.
         #[serde(default)]
         pub epoch: ids::SourceEpoch,
+        /// Revision of the registration; 0 in those of older daemons.
+        #[serde(default)]
+        pub revision: revision::Revision,
     }
 }
 
@@ -52,12 +56,14 @@
 
 /// Registry outside the fleet that keeps one registration per daemon.
 pub trait Discovery: Send + Sync + 'static {
-    /// Registers a daemon, replacing an earlier registration. Returns the epoch of the registry that
-    /// holds it; 0 if unknown.
+    /// Registers a daemon, replacing an earlier registration. A registration with a lower revision than
+    /// an earlier one has no effect, whenever the registry executes it. Returns the epoch of the registry
+    /// that holds it; 0 if unknown.
     ///
     /// # Errors
     ///
-    /// Fails when the registry does not respond; the daemon may have been registered anyway.
+    /// Fails with [`Outdated`](platform_log::PlatformError::Outdated) if the registry has had a higher
+    /// revision, and when it does not respond; the daemon may have been registered anyway in that case.
     fn register(
         &self,
         registration: &Registration,
@@ -88,6 +94,8 @@
     pub seeds: Seeds,
     /// Departures to store.
     pub departures: sync::Arc<departure_tracker::DepartureTracker>,
+    /// Revisions of the registrations.
+    pub revisions: revision::Revisions,
 }
 
 /// Backoff after the first failed call; doubles with each further one up to [`BACKOFF_MAX`].
@@ -111,7 +119,7 @@
     /// Looks up seeds, learns what earlier processes of the daemon have registered, and registers this
     /// one. Then keeps the registration, and looks up seeds again whenever no other daemon is live, until
     /// `stop` is cancelled.
-    pub async fn run(self, stop: CancellationToken) {
+    pub async fn run(mut self, stop: CancellationToken) {
         let mut backoff = BACKOFF_MIN;
         let registered = loop {
             match self.join().await {
@@ -128,7 +136,7 @@
 
     /// Keeps the daemon registered with all its departures, and looks up seeds while no other daemon is
     /// live. `registered` is the epoch of the registry that holds the registration.
-    async fn maintain(&self, mut registered: ids::SourceEpoch) {
+    async fn maintain(&mut self, mut registered: ids::SourceEpoch) {
         let mut is_incomplete = !self.departures.is_known();
         let mut checks = 0_u32;
         let mut next_check = tokio::time::Instant::now() + CHECK_INTERVAL;
@@ -193,14 +201,16 @@
 
     /// Registers the daemon again if the registry has lost its registration. Returns the epoch of the
     /// registry that holds it.
-    async fn repair_registration(&self) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+    async fn repair_registration(
+        &mut self,
+    ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
         let directory = self.refresh_seeds().await?;
         self.complete_registration(&directory).await
     }
 
     /// Looks up seeds, learns the departures that earlier processes of the daemon have registered, and
     /// completes the registration. Returns the epoch of the registry that holds it.
-    async fn join(&self) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
+    async fn join(&mut self) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
         let directory = self.refresh_seeds().await?;
         self.learn_departures(&directory);
         let epoch = self.complete_registration(&directory).await?;
@@ -239,7 +249,7 @@
     /// Registers the daemon unless the directory has all of its registration. Returns the epoch of the
     /// registry that holds it.
     async fn complete_registration(
-        &self,
+        &mut self,
         directory: &Directory,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
         let recorded = self.departures.recorded();
@@ -254,13 +264,18 @@
     /// Registers the daemon with its departures, in a registry of at least `epoch`. Returns the epoch of
     /// the registry that holds the registration.
     async fn register(
-        &self,
+        &mut self,
         epoch: ids::SourceEpoch,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
         // Departures that are counted here are in the membership record that is read next.
         let recorded = self.departures.recorded();
-        let registration = self.own_registration(epoch);
-        let epoch = self.discovery.register(&registration).await?;
+        let revision = self.revisions.next(self.shared.clock.wall());
+        let registration = Registration { revision, ..self.own_registration(epoch) };
+        let registered = self.discovery.register(&registration).await;
+        if registered == Err(platform_log::PlatformError::Outdated) {
+            self.revisions.skip();
+        }
+        let epoch = registered?;
         self.departures.mark_stored(recorded);
         log::info!(
             event = "directory",
@@ -271,14 +286,14 @@
         Ok(epoch)
     }
 
-    /// Returns the daemon's registration for a registry of at least `epoch`.
+    /// Returns the daemon's registration for a registry of at least `epoch`, without a revision.
     fn own_registration(&self, epoch: ids::SourceEpoch) -> Registration {
         let membership = self.shared.membership();
         let newest = epoch.max(membership.source_epoch());
         let epoch = if self.departures.is_known() { newest } else { 0 };
         let own = membership.own_record();
         let (daemon, departed) = (own.daemon.clone(), own.departed.clone());
-        Registration { daemon, control: own.control, departed, epoch }
+        Registration { daemon, control: own.control, departed, epoch, revision: 0 }
     }
 
     fn find_own<'a>(&self, directory: &'a Directory) -> Option<&'a Registration> {
@@ -287,8 +302,11 @@
     }
 
     /// Looks up the registrations and takes the addresses of the other daemons as seeds.
-    async fn refresh_seeds(&self) -> Result<Directory, platform_log::PlatformError> {
+    async fn refresh_seeds(&mut self) -> Result<Directory, platform_log::PlatformError> {
         let directory = self.discovery.registrations().await?;
+        if let Some(found) = self.find_own(&directory) {
+            self.revisions.observe(found.revision);
+        }
         let own = self.shared.membership().own_record().control;
         let controls = directory.registrations.iter().map(|registration| registration.control);
         let others: Vec<net::SocketAddr> = controls.filter(|control| *control != own).collect();
--- a/crates/coordination/src/platform_log.rs
+++ b/crates/coordination/src/platform_log.rs
@@ -60,6 +60,8 @@
     MalformedResponse,
     /// the platform's store was restored from an older copy
     Restored,
+    /// the platform's store has had a higher revision of the record
+    Outdated,
 }
 
 impl std::error::Error for PlatformError {}
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -235,6 +235,7 @@
             discovery: platform.discovery(),
             seeds,
             departures: self.sidecar.departures.clone(),
+            revisions: Default::default(),
         };
         self.tasks.spawn(bootstrap.run(self.stop.clone()));
         let monitor = restore_monitor::RestoreMonitor {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod response_size;
 pub mod retry;
 pub mod retry_need;
+pub mod revision;
 pub mod router;
 pub mod running;
 pub mod sampling;
