Move the order of registrations and departures from platform/ to the sidecar

The platform's heartbeat server decided when to wait for the history and for the store. Sidecar::announce, depart and depart_instance do so now, so that a departure is acknowledged once it is stored on every interface; platform/ only translates the result. No change for callers.

--- a/crates/transport/src/announcement_server.rs
+++ b/crates/transport/src/announcement_server.rs
@@ -29,15 +29,21 @@
         Self { sidecar }
     }
 
-    fn dispatch(&self, path: &str, body: &[u8], sender: net::IpAddr) -> Result<Bytes, String> {
+    async fn dispatch(
+        &self,
+        path: &str,
+        body: &[u8],
+        sender: net::IpAddr,
+    ) -> Result<Bytes, String> {
         match path {
             announce::ANNOUNCE_PATH => {
                 let announcement = parse(body)?;
-                let lease = self.sidecar.announce(&announcement, sender)?;
+                let lease = self.sidecar.announce(&announcement, sender).await?;
                 Ok(client::json(&lease))
             }
             announce::DEPART_PATH => {
-                let drain_status = self.sidecar.depart(&parse(body)?)?;
+                let departed = self.sidecar.depart(&parse(body)?).await;
+                let drain_status = departed.map_err(|error| error.to_string())?;
                 Ok(client::json(&drain_status))
             }
             _ => Err(format!("no such path: {path}")),
@@ -71,7 +77,7 @@
                 client::json(&rejection),
             );
         }
-        match self.dispatch(head.uri.path(), &body.to_bytes(), peer.ip()) {
+        match self.dispatch(head.uri.path(), &body.to_bytes(), peer.ip()).await {
             Ok(body) => client::response(http::StatusCode::OK, body),
             Err(error) => {
                 let rejection = announce::ErrorBody { error };
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -9,6 +9,7 @@
 mod bodies;
 mod calls;
 mod departed;
+pub mod departure_error;
 mod forwarding;
 
 use std::sync;
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -14,6 +14,7 @@
 
 use crate::sidecar;
 use crate::sidecar::departed;
+use crate::sidecar::departure_error;
 use crate::upstream;
 
 /// Time for which the response to a heartbeat or departure waits for the registry. A backend server waits
@@ -21,12 +22,24 @@
 const REGISTRY_WAIT_MAX: time::Duration = time::Duration::from_millis(800);
 
 impl<C: clock::Clock> sidecar::Sidecar<C> {
-    /// Processes an announcement or heartbeat of a local backend server and renews its lease.
+    /// Processes an announcement or heartbeat of a local backend server and renews its lease. Waits a
+    /// short time if the backend server may have departed from an earlier process of the daemon.
     ///
     /// # Errors
     ///
     /// Returns the reason if the announcement is rejected.
-    pub fn announce(
+    pub async fn announce(
+        &self,
+        announcement: &announce::Announcement,
+        sender: net::IpAddr,
+    ) -> Result<announce::Lease, String> {
+        if announcement.instance.is_some() {
+            self.await_history(announcement.incarnation).await?;
+        }
+        self.register(announcement, sender)
+    }
+
+    fn register(
         &self,
         announcement: &announce::Announcement,
         sender: net::IpAddr,
@@ -83,7 +96,7 @@
     ///
     /// Returns an error if heartbeats begin to be accepted without that knowledge meanwhile: this one
     /// arrived before.
-    pub async fn await_history(&self, incarnation: ids::Incarnation) -> Result<(), String> {
+    async fn await_history(&self, incarnation: ids::Incarnation) -> Result<(), String> {
         let wait = self.unknown_history(incarnation).min(REGISTRY_WAIT_MAX);
         if wait.is_zero() {
             return Ok(());
@@ -101,9 +114,12 @@
     /// # Errors
     ///
     /// Returns an error if the registry does not have them in time; they must not be acknowledged then.
-    pub async fn await_stored_departures(&self) -> Result<(), String> {
-        let is_stored = self.departures.await_stored(REGISTRY_WAIT_MAX).await;
-        is_stored.then_some(()).ok_or_else(|| "the departure is not stored yet".into())
+    async fn await_stored_departures(&self) -> Result<(), departure_error::DepartureError> {
+        if self.departures.await_stored(REGISTRY_WAIT_MAX).await {
+            return Ok(());
+        }
+        metrics::counter!("lynxmast_departures_unacknowledged_total").increment(1);
+        Err(departure_error::DepartureError::NotStored)
     }
 
     fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
@@ -174,13 +190,23 @@
         Ok(())
     }
 
-    /// Processes a departure: drains the upstream and returns the number of its requests in flight,
-    /// which is 0 if the upstream is unknown.
+    /// Processes a departure: drains the upstream at once and returns the number of its requests in
+    /// flight, which is 0 if the upstream is unknown. Waits a short time until the departure is stored.
     ///
     /// # Errors
     ///
-    /// Returns an error if another incarnation is serving at the address.
-    pub fn depart(&self, departure: &announce::Departure) -> Result<announce::DrainStatus, String> {
+    /// Returns an error if another incarnation is serving at the address, or if the departure is not
+    /// stored in time.
+    pub async fn depart(
+        &self,
+        departure: &announce::Departure,
+    ) -> Result<announce::DrainStatus, departure_error::DepartureError> {
+        let drained = self.drain(departure);
+        let status = drained.map_err(departure_error::DepartureError::Rejected)?;
+        self.await_stored_departures().await.map(|()| status)
+    }
+
+    fn drain(&self, departure: &announce::Departure) -> Result<announce::DrainStatus, String> {
         if let Some(instance) = &departure.instance {
             self.record_departure(instance, departure.incarnation);
         }
@@ -200,12 +226,26 @@
         Ok(announce::DrainStatus { in_flight })
     }
 
-    /// Processes the departure of a named backend server, whether or not it has announced itself.
+    /// Processes the departure of a named backend server, whether or not it has announced itself. Waits a
+    /// short time until the departure is stored.
     ///
     /// No incarnation up to the newest announced one accepts new requests. If none has announced
     /// itself, the limit is `wall_time` in milliseconds since the Unix epoch, so it covers all that
     /// use their start time as incarnation and have started by then.
-    pub fn depart_instance(&self, instance: &ids::InstanceName, wall_time: time::SystemTime) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the departure is not stored in time. It takes effect at once in any case.
+    pub async fn depart_instance(
+        &self,
+        instance: &ids::InstanceName,
+        wall_time: time::SystemTime,
+    ) -> Result<(), departure_error::DepartureError> {
+        self.drain_instance(instance, wall_time);
+        self.await_stored_departures().await
+    }
+
+    fn drain_instance(&self, instance: &ids::InstanceName, wall_time: time::SystemTime) {
         let since_epoch = wall_time.duration_since(time::UNIX_EPOCH).unwrap_or_default();
         let now_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let is_named = |upstream: &sync::Arc<upstream::Upstream<C>>| {
