Keep the ports of the process tests out of the system's own range

The daemon's output says why: "cannot listen on 127.0.0.1:39629 (admin): Address already in use". The port was found free, closed, and then assigned by the system to another socket, as both tests start daemons at the same time.

The ports now lie below those that the system assigns, apart for each process of tests. The tests check the same as before.

--- a/crates/lynxmastd/tests/signals.rs
+++ b/crates/lynxmastd/tests/signals.rs
@@ -7,15 +7,26 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::time;
 
 /// Longest time that the process may take to start or exit.
 const WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Number of ports for each process of tests.
+const PORTS_MAX: u32 = 16;
+
+/// Ports handed out so far.
+static PORTS: atomic::AtomicU16 = atomic::AtomicU16::new(0);
+
+/// Returns a free port below those that the system assigns by itself, which other sockets may take before
+/// the daemon opens it.
 fn free_port() -> u16 {
-    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address").port()
+    let first = 10_000 + (process::id() * PORTS_MAX % 20_000) as u16;
+    let mut ports = (0..PORTS_MAX).map(|_| first + PORTS.fetch_add(1, atomic::Ordering::Relaxed));
+    let is_free = |port: &u16| net::TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    ports.find(is_free).expect("a port is free")
 }
 
 /// Sends a GET request and returns the response; empty if there is none.
