Bound trust in readers of the store by the age of evidence

What callers saw: after an acknowledged configuration, daemons that ran and reached the store went on under an older version (404 on a route that was added), until those that read the store for them counted as silent: 10 s and 60 ms a daemon, where 2 s are allowed.

Cause: must_follow trusted the first three daemons of a failure domain by membership, and everybody trusted pending waits at the store and turns by the time of day. Silence of each was taken for "no news".

Change: each daemon knows the newest time at which its policy was known to be the newest one (Freshness). It gets that from its own reads, or from the daemon before it in a tree (Relay), in responses to its own messages, so that delays on the way only make a confirmation older. When the newest one is 1.3 s old (and 80 ms a level of the tree, at most 0.36 s more), it reads the store itself; the peer that was of no help is not asked for 5 s. The first daemon of the first domain reads once a second in place of the turns, and no decision depends on the time of day any more. read_turn and its tests give way to the tests in freshness, which check every daemon at each moment, not only the interval between two waits; the test of turns in membership gives way to tests of the tree.

A failed wait is followed by a new call without a backoff, as others may rely on this daemon.

--- a/crates/coordination/src/control_client.rs
+++ b/crates/coordination/src/control_client.rs
@@ -18,6 +18,8 @@
 use tarpc::tokio_serde::formats;
 use tokio_util::codec;
 
+use crate::confirmations;
+
 /// Sends control messages over a bounded pool of connections.
 #[derive(Debug)]
 pub struct ControlClient {
@@ -136,6 +138,24 @@
         self.check_response(to, response)
     }
 
+    /// Requests a confirmation of the policy from the daemon at `to`, which holds the message for at most
+    /// [`confirmations::HOLD_MAX`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon does not respond in time or rejects the shared secret.
+    pub async fn confirm(
+        &self,
+        to: net::SocketAddr,
+        version: ids::PolicyVersion,
+        age: Option<time::Duration>,
+    ) -> Result<control::Confirmation, ControlError> {
+        let client = self.client(to).await?;
+        let context = context_with_timeout(confirmations::HOLD_MAX + RESPONSE_TIMEOUT);
+        let response = client.confirm(context, self.sender.clone(), version, age).await;
+        self.check_response(to, response)
+    }
+
     fn check_response<T>(
         &self,
         to: net::SocketAddr,
--- a/crates/coordination/src/control_server.rs
+++ b/crates/coordination/src/control_server.rs
@@ -2,10 +2,12 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use futures::StreamExt;
 use lynxmast_protocol::control;
 use lynxmast_state::clock;
+use lynxmast_state::ids;
 use lynxmast_state::membership;
 use lynxmast_state::quota::message;
 use lynxmast_state::shared_state;
@@ -20,6 +22,7 @@
 use tokio_util::codec;
 use tokio_util::sync::CancellationToken;
 
+use crate::confirmations;
 use crate::control_client;
 use crate::gossip;
 use crate::history;
@@ -33,6 +36,8 @@
     pub history: sync::Arc<history::History>,
     /// Client for control messages to other daemons.
     pub client: sync::Arc<control_client::ControlClient>,
+    /// Confirmations of the policy that other daemons wait for.
+    pub confirmations: sync::Arc<confirmations::Confirmations<C>>,
     /// The fleet's shared secret.
     pub secret: String,
 }
@@ -43,7 +48,8 @@
 impl<C: clock::Clock> Clone for ControlServer<C> {
     fn clone(&self) -> Self {
         let (shared, history) = (self.shared.clone(), self.history.clone());
-        Self { shared, history, client: self.client.clone(), secret: self.secret.clone() }
+        let (client, confirmations) = (self.client.clone(), self.confirmations.clone());
+        Self { shared, history, client, confirmations, secret: self.secret.clone() }
     }
 }
 
@@ -159,6 +165,19 @@
         let state = self.shared.with_reducer(Clone::clone);
         Some(control::CatchUp::State(Box::new(state)))
     }
+
+    async fn confirm(
+        self,
+        _: context::Context,
+        sender: control::Sender,
+        version: ids::PolicyVersion,
+        age: Option<time::Duration>,
+    ) -> Option<control::Confirmation> {
+        if !self.authorise(&sender) {
+            return None;
+        }
+        Some(self.confirmations.next(version, age).await)
+    }
 }
 
 /// Binds the listener for control messages.
--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -7,10 +7,12 @@
 
 use lynxmast_state::clock;
 use lynxmast_state::event;
+use lynxmast_state::membership;
 use lynxmast_state::shared_state;
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
+use crate::confirmations;
 use crate::document_source;
 use crate::log_follower;
 use crate::peer_sync;
@@ -23,6 +25,8 @@
     pub shared: sync::Arc<shared_state::SharedState<C>>,
     /// Source of policy documents.
     pub source: S,
+    /// Confirmations of this daemon's policy.
+    pub confirmations: sync::Arc<confirmations::Confirmations<C>>,
     /// State reported to operators.
     pub state: sync::Arc<log_follower::FollowerState>,
     /// Signals that the daemon was suspended, so that its state may be outdated; the newest
@@ -43,12 +47,6 @@
 /// Time between checks for peers with a newer version. A check is local; it sends a message only if
 /// such a peer is known.
 const PEER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Daemons per failure domain that follow the source. The number is limited because calls to the
-/// source are charged.
-const FOLLOWERS: usize = 3;
-/// Other daemons of the failure domain that must reach the source before this one may stop
-/// following it.
-const REACHABLE_FOLLOWERS_MIN: usize = 2;
 /// Time between checks of whether this daemon has to follow the source.
 const ROLE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Longest time after reading the first document in which a daemon waits for contact with its peers.
@@ -56,29 +54,33 @@
 const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Time between two checks for contact with the peers.
 const CONTACT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
-/// Backoff after the first failed call; doubles with each further one up to [`BACKOFF_MAX`].
-const BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
-/// Longest backoff after a failed call. It is shorter than the time in which a configuration
-/// must become active, so that the recovery of the source is noticed in time.
-const BACKOFF_MAX: time::Duration = time::Duration::from_millis(1500);
-
 impl<C: clock::Clock, S: document_source::DocumentSource> DocumentFollower<C, S> {
     /// Follows the source until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
-        let mut backoff = BACKOFF_MIN;
         let mut is_following = false;
         let mut has_responded = false;
         while !stop.is_cancelled() {
-            if !self.must_follow(has_responded) {
+            let relay = self.shared.relay();
+            if !self.must_follow(&relay, has_responded) {
                 is_following = false;
                 self.set_follows_source(false);
-                stop.run_until_cancelled(tokio::time::sleep(ROLE_CHECK_INTERVAL)).await;
-                continue;
+                let due = self.confirmations.until_read_due(&relay, false);
+                let role_check = tokio::time::timeout(ROLE_CHECK_INTERVAL, due);
+                match stop.run_until_cancelled(role_check).await {
+                    Some(Ok(())) => self.log_overdue(&relay),
+                    Some(Err(_)) => continue,
+                    None => return,
+                }
             }
-            let resumed = self.resumed.clone();
+            let (resumed, confirmations) = (self.resumed.clone(), self.confirmations.clone());
             let was_following = is_following;
             let result = tokio::select! {
-                result = self.update(is_following) => result,
+                result = self.update(is_following, &relay) => result,
+                () = confirmations.until_read_due(&relay, true), if is_following => {
+                    self.log_overdue(&relay);
+                    is_following = false;
+                    continue;
+                }
                 () = resumed.notified() => {
                     is_following = false;
                     continue;
@@ -90,11 +92,10 @@
             has_responded |= result.is_ok();
             // A wait may fail although the source responds to a new call, which decides.
             if result.is_ok() || !was_following {
-                self.set_follows_source(is_following && self.must_follow(has_responded));
+                self.set_follows_source(is_following && relay.is_reader);
                 self.record_reachability(&result);
             }
             if result.is_ok() {
-                backoff = BACKOFF_MIN;
                 if is_first {
                     // Only a few daemons need to wait for the next document; which ones is known
                     // once the membership has converged.
@@ -102,25 +103,30 @@
                 }
                 continue;
             }
-            if was_following && result == Err(platform_log::PlatformError::Restored) {
+            // The new call is made at once, as others may rely on this daemon.
+            if was_following {
                 continue;
             }
-            let jittered = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
-            stop.run_until_cancelled(tokio::time::sleep(jittered)).await;
-            backoff = (backoff * 2).min(BACKOFF_MAX);
+            let (jitter, now) = (rand::rng().random_range(0.0..1.0), self.shared.boot_time());
+            let backoff = self.shared.freshness().record_failure(relay.is_reader, jitter, now);
+            stop.run_until_cancelled(tokio::time::sleep(backoff)).await;
         }
     }
 
     /// Returns `true` if this daemon has to follow the source itself: if its policy is not yet
-    /// current and the source has not responded yet, if it is among the first daemons of its failure
-    /// domain by name, or if too few others there reach the source. The remaining daemons fetch the
-    /// policy from their peers.
-    fn must_follow(&self, has_responded: bool) -> bool {
-        if !self.shared.is_current() && !has_responded {
-            return true;
-        }
-        let followers = self.shared.membership().domain_followers(self.shared.now());
-        followers.preceding < FOLLOWERS || followers.following < REACHABLE_FOLLOWERS_MIN
+    /// current and the source has not responded yet, or if it is among the first daemons of its failure
+    /// domain. The remaining daemons fetch the policy from their peers and read the source only if these
+    /// do not confirm it.
+    fn must_follow(&self, relay: &membership::Relay, has_responded: bool) -> bool {
+        relay.is_reader || !(self.shared.is_current() || has_responded)
+    }
+
+    /// Logs that the source is read because the newest confirmation of the policy is too old.
+    fn log_overdue(&self, relay: &membership::Relay) {
+        metrics::counter!("lynxmast_confirmations_overdue_total").increment(1);
+        let age = self.shared.freshness().age(self.shared.boot_time()).unwrap_or_default();
+        let peer = relay.parent.as_ref().map_or("", |parent| &*parent.daemon);
+        log::debug!(event = "confirmation-overdue", age_ms = age.as_millis() as u64, peer; "");
     }
 
     /// Publishes in this daemon's membership record whether this daemon follows the source.
@@ -132,12 +138,20 @@
     }
 
     /// Fetches and applies a document: the next update while following, the newest one otherwise.
-    async fn update(&mut self, is_following: bool) -> Result<(), platform_log::PlatformError> {
-        let fetched = if is_following {
-            let turn = self.shared.membership().read_turn(FOLLOWERS, self.shared.now());
-            self.source.wait_for_update(turn.wait(self.shared.clock.wall())).await?
+    async fn update(
+        &mut self,
+        is_following: bool,
+        relay: &membership::Relay,
+    ) -> Result<(), platform_log::PlatformError> {
+        let sent = self.shared.boot_time();
+        let (fetched, as_of) = if is_following {
+            let wait = self.shared.freshness().wait(relay, sent);
+            let fetched = self.source.wait_for_update(wait).await?;
+            // A wait that ends without a document shows that there was none until then.
+            let as_of = if fetched.is_none() { sent + wait } else { sent };
+            (fetched, as_of)
         } else {
-            self.source.newest().await?
+            (self.source.newest().await?, sent)
         };
         if let Some(fetched) = fetched {
             let document_source::Revision { version, document } = fetched;
@@ -148,14 +162,15 @@
                 }
             });
         }
-        self.confirm_policy().await;
+        self.confirmations.record_read(as_of);
+        self.check_peers().await;
         Ok(())
     }
 
     /// Marks the policy as current once enough peers are known and none has a newer version; without
     /// them, after [`CONTACT_TIMEOUT`]. A source that was restored from an older copy may have
     /// returned a version with keys that have been withdrawn since.
-    async fn confirm_policy(&mut self) {
+    async fn check_peers(&mut self) {
         let started = tokio::time::Instant::now();
         while !self.shared.is_current() && self.shared.policy().version > 0 {
             let has_waited = started.elapsed() >= CONTACT_TIMEOUT;
--- a/crates/coordination/src/document_follower/tests.rs
+++ b/crates/coordination/src/document_follower/tests.rs
@@ -69,6 +69,7 @@
     let follower = DocumentFollower {
         shared: shared.clone(),
         source: source.clone(),
+        confirmations: confirmations::Confirmations::new(shared.clone()).into(),
         state: Default::default(),
         resumed: resumed.clone(),
     };
@@ -99,8 +100,9 @@
     let message = membership::GossipMessage { records: records.collect(), ..Default::default() };
     shared.membership().apply(&message, shared.now());
     let follower = DocumentFollower {
-        shared,
+        shared: shared.clone(),
         source: source.clone(),
+        confirmations: confirmations::Confirmations::new(shared).into(),
         state: Default::default(),
         resumed: Default::default(),
     };
--- a/crates/coordination/src/document_source.rs
+++ b/crates/coordination/src/document_source.rs
@@ -29,7 +29,7 @@
     ) -> impl future::Future<Output = Result<Option<Revision>, platform_log::PlatformError>> + Send;
 
     /// Waits for at most `wait` for a document published after the previous call. Returns `None` if
-    /// the source ends the long poll without a valid new document.
+    /// no valid one was published until the end of the whole wait.
     ///
     /// # Errors
     ///
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,8 @@
 //! This layer moves messages and records and updates the shared state of `lynxmast-state`. It is
 //! never on the request path.
 
+pub mod confirmation_relay;
+pub mod confirmations;
 pub mod control_client;
 pub mod control_server;
 pub mod discovery;
--- a/crates/coordination/src/peer_sync.rs
+++ b/crates/coordination/src/peer_sync.rs
@@ -16,7 +16,7 @@
 use crate::history;
 
 /// Fetches the policy from other daemons.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct PeerSync<C: clock::Clock> {
     /// State shared by all parts of the daemon.
     pub shared: sync::Arc<shared_state::SharedState<C>>,
@@ -36,10 +36,14 @@
     /// Fetches the policy from a live daemon that has a newer version. If there is none, marks the
     /// policy as current once enough peers are live.
     pub async fn sync(&self) {
-        let Some(peer) = self.newer_peer() else {
-            self.mark_current();
-            return;
-        };
+        match self.newer_peer() {
+            Some(peer) => self.sync_from(peer).await,
+            None => self.mark_current(),
+        }
+    }
+
+    /// Fetches the policy from the daemon with the control address `peer`.
+    pub async fn sync_from(&self, peer: net::SocketAddr) {
         loop {
             let from = self.shared.with_reducer(|reducer| reducer.next);
             let Ok(response) = self.client.catch_up(peer, from).await else { return };
--- a/crates/coordination/src/quota_borrower.rs
+++ b/crates/coordination/src/quota_borrower.rs
@@ -53,7 +53,7 @@
     }
 
     fn tick(&self) {
-        let now = self.shared.quota_now();
+        let now = self.shared.boot_time();
         self.shared.quota_owner().tick(now);
         let changes = self.shared.spender().changes(now);
         let policy = self.shared.policy().version;
@@ -74,7 +74,7 @@
     /// Sends the asks that are due, one message to each owner. Those of an owner to which a message
     /// is on its way wait for its response.
     fn send_asks(self: &sync::Arc<Self>) {
-        let sent = self.shared.quota_now();
+        let sent = self.shared.boot_time();
         let asks = self.shared.spender().asks(sent);
         if asks.is_empty() {
             return;
@@ -138,7 +138,7 @@
     }
 
     fn apply(&self, asks: &[message::Ask], grants: &[message::Grant], sent: time::Instant) {
-        let now = self.shared.quota_now();
+        let now = self.shared.boot_time();
         self.shared.spender().apply(asks, grants, sent, now);
         self.signals.granted.notify_waiters();
         // Requests may have arrived, or asks may have been postponed, since the ask was sent.
--- a/crates/coordination/src/quota_borrower/tests.rs
+++ b/crates/coordination/src/quota_borrower/tests.rs
@@ -10,6 +10,7 @@
 use tarpc::context;
 
 use super::*;
+use crate::confirmations;
 use crate::control_server;
 
 /// Returns the size in bytes of a message with asks for a number of organisations, and of its
@@ -73,6 +74,7 @@
             shared: shared.clone(),
             history: Default::default(),
             client: client.clone(),
+            confirmations: confirmations::Confirmations::new(shared.clone()).into(),
             secret: own_secret.to_owned(),
         };
         tokio::spawn(server.run(listener, CancellationToken::new()));
@@ -100,7 +102,7 @@
     // An owner that has just started lends nothing.
     for _ in 0..20 {
         clock.advance(TICK_INTERVAL);
-        owner.shared.quota_owner().tick(owner.shared.quota_now());
+        owner.shared.quota_owner().tick(owner.shared.boot_time());
     }
     relay.learn(&[&owner]);
     ingress.learn(&[&owner, &relay]);
@@ -122,13 +124,13 @@
         unreachable: Default::default(),
     };
     let limit = quota::Limit { rate: 10.0, burst: 10.0 };
-    let arrived = ingress.shared.quota_now();
+    let arrived = ingress.shared.boot_time();
     let decide = || {
-        let now = ingress.shared.quota_now();
+        let now = ingress.shared.boot_time();
         ingress.shared.spend(&"mailers".into(), &limit, arrived, now).0
     };
     let borrow = async || {
-        let sent = ingress.shared.quota_now();
+        let sent = ingress.shared.boot_time();
         let asks = ingress.shared.spender().asks(sent);
         assert_eq!(asks.len(), 1, "an ask is due");
         borrower.borrow_from(owner.address, asks, sent).await;
--- a/crates/lynxmastd/src/admin.rs
+++ b/crates/lynxmastd/src/admin.rs
@@ -141,6 +141,13 @@
         metrics::gauge!("lynxmast_quarantined_requests").set(quarantined as f64);
     }
 
+    /// Sets the gauge of the time for which the policy has not been known to be the newest one.
+    fn record_confirmation(&self) {
+        let age = self.shared.freshness().age(self.shared.boot_time());
+        let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        metrics::gauge!("lynxmast_policy_confirmation_age_seconds").set(seconds);
+    }
+
     /// Sets the gauges of the limits that local upstreams name.
     fn record_limits(&self) {
         for upstream in self.sidecar.upstreams() {
@@ -190,6 +197,7 @@
                 self.record_suspects();
                 self.record_limits();
                 self.record_held_bytes();
+                self.record_confirmation();
                 metrics::gauge!("lynxmast_quotas_owned")
                     .set(self.shared.quota_owner().len() as f64);
                 let text = self.metrics.as_ref().map(prometheus::PrometheusHandle::render);
--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -5,6 +5,8 @@
 use std::time;
 
 use displaydoc::Display;
+use lynxmast_coordination::confirmation_relay;
+use lynxmast_coordination::confirmations;
 use lynxmast_coordination::control_client;
 use lynxmast_coordination::control_server;
 use lynxmast_coordination::discovery;
@@ -56,6 +58,8 @@
     tasks: TaskTracker,
     /// Notified when the VM resumes after a suspension, as the policy may then be outdated.
     resumed: sync::Arc<tokio::sync::Notify>,
+    /// Confirmations of the policy.
+    confirmations: sync::Arc<confirmations::Confirmations<C>>,
 }
 
 /// Why a daemon cannot start.
@@ -243,12 +247,19 @@
             epochs: platform.source_epochs(),
         };
         self.tasks.spawn(monitor.run(self.stop.clone()));
+        let confirmations = self.confirmations.clone();
+        let relay = confirmation_relay::ConfirmationRelay {
+            peers: peers.clone(),
+            confirmations: confirmations.clone(),
+        };
+        self.tasks.spawn(relay.run(self.stop.clone()));
         let wake = self.sidecar.policy_refresh.clone();
         let peer_follower = document_follower::PeerFollower { peers, wake };
         self.tasks.spawn(peer_follower.run(self.stop.clone()));
         let follower = document_follower::DocumentFollower {
             shared: shared.clone(),
             source: platform.documents(),
+            confirmations,
             state: state.clone(),
             resumed: self.resumed.clone(),
         };
@@ -273,6 +284,7 @@
             shared: shared.clone(),
             history: history.clone(),
             client: client.clone(),
+            confirmations: self.confirmations.clone(),
             secret: settings.secret.clone(),
         };
         self.tasks.spawn(server.run(control_port, self.stop.clone()));
@@ -410,6 +422,7 @@
         let daemon = Daemon {
             listen: ports.listen.clone(),
             shared: shared.clone(),
+            confirmations: sync::Arc::new(confirmations::Confirmations::new(shared.clone())),
             sidecar: sync::Arc::new(sidecar::Sidecar::new(shared, options)),
             limits: settings.limits.clone(),
             ingress_stop: CancellationToken::new(),
--- a/crates/protocol/src/control.rs
+++ b/crates/protocol/src/control.rs
@@ -1,6 +1,7 @@
 //! Control messages between daemons, over tarpc.
 
 use std::net;
+use std::time;
 
 use lynxmast_state::ids;
 use lynxmast_state::membership;
@@ -27,6 +28,17 @@
         pub edit: edit::Edit,
     }
 
+    /// Confirmation that a policy was the newest one.
+    pub struct Confirmation {
+        /// Version of the responding daemon's policy.
+        pub version: ids::PolicyVersion,
+        /// Time for which the responding daemon has not known its policy to be the newest one; `None` if
+        /// it never knew.
+        pub age: Option<time::Duration>,
+        /// Time for which the responding daemon has held the message.
+        pub held: time::Duration,
+    }
+
     /// Name and credentials of the daemon that sends a message.
     pub struct Sender {
         /// Name of the sending daemon.
@@ -58,4 +70,12 @@
     /// Requests the policy records, starting at offset `from`; returns `None` if the sender's secret
     /// is wrong.
     async fn catch_up(sender: Sender, from: ids::Offset) -> Option<CatchUp>;
+    /// Requests a confirmation of the policy that is newer than the sender's of the given age, or a
+    /// newer version; returns `None` if the sender's secret is wrong. The response is held back until
+    /// there is either, but not for long.
+    async fn confirm(
+        sender: Sender,
+        version: ids::PolicyVersion,
+        age: Option<time::Duration>,
+    ) -> Option<Confirmation>;
 }
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod message;
 mod placement;
+pub(crate) mod relay;
 mod round;
 
 use std::time;
@@ -13,12 +14,13 @@
 
 use crate::ids;
 use crate::member;
-use crate::read_turn;
 use crate::router;
 
 pub use change::Change;
 pub use message::GossipMessage;
 pub use placement::Placement;
+pub use relay::Parent;
+pub use relay::Relay;
 pub use round::Round;
 pub use round::RoundKind;
 
@@ -50,16 +52,6 @@
     was_live: bool,
 }
 
-/// Counts of other daemons in the same failure domain. A daemon uses them to decide whether to read
-/// the policy from its source itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Followers {
-    /// Daemons that read the policy from its source.
-    pub following: usize,
-    /// Daemons whose name sorts before this daemon's, whether they read the source or not.
-    pub preceding: usize,
-}
-
 /// Time without a heartbeat after which a daemon's upstreams get no new requests, before the
 /// extension for each peer.
 pub const LIVENESS_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -110,39 +102,6 @@
         self.generation
     }
 
-    /// Counts the other live daemons in the same failure domain that read the policy from its
-    /// source, and those whose name sorts before this daemon's.
-    pub fn domain_followers(&self, now: time::Instant) -> Followers {
-        let liveness_timeout = self.liveness_timeout();
-        let live = self.peers.values().filter(|peer| peer.is_live(liveness_timeout, now));
-        let same_domain =
-            live.map(|peer| &peer.record).filter(|r| r.domain == self.own_record.domain);
-        let same_domain: Vec<&member::Record> =
-            same_domain.filter(|record| !record.leaving).collect();
-        let following = same_domain.iter().filter(|record| record.follows_source);
-        let preceding = same_domain.iter().filter(|record| record.daemon < self.own_record.daemon);
-        Followers { following: following.count(), preceding: preceding.count() }
-    }
-
-    /// Returns this daemon's turn among the live daemons that read the policy from its source, in
-    /// the order of their names. Of each failure domain only the first `per_domain` daemons count,
-    /// since others stop reading soon; a longer turn would last until long after that.
-    pub fn read_turn(&self, per_domain: usize, now: time::Instant) -> read_turn::ReadTurn {
-        let mut by_domain: IndexMap<&ids::DomainName, Vec<&member::Record>> = IndexMap::new();
-        for record in self.live_records(now).filter(|record| !record.leaving) {
-            by_domain.entry(&record.domain).or_default().push(record);
-        }
-        let own = &self.own_record.daemon;
-        let mut others = Vec::new();
-        for mut records in by_domain.into_values() {
-            records.sort_by_key(|record| &record.daemon);
-            let readers = records.into_iter().take(per_domain);
-            others.extend(readers.filter(|r| r.follows_source && r.daemon != *own));
-        }
-        let position = others.iter().filter(|record| record.daemon < *own).count();
-        read_turn::ReadTurn { position, readers: others.len() + 1 }
-    }
-
     /// Sets the active policy version. It spreads with the heartbeat rather than as a change of the
     /// record, since a new version would otherwise change the records of all daemons at once.
     pub fn set_policy_version(&mut self, version: ids::PolicyVersion) {
--- a/crates/state/src/shared_state.rs
+++ b/crates/state/src/shared_state.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of one daemon, and its lock order.
 //!
-//! Lock order: `policy`, `membership`, `router`, `upstream_counts`, `spender`, `quota_owner`, `traffic`,
+//! Lock order: `policy`, `freshness`, `membership`, `router`, `upstream_counts`, `spender`, `quota_owner`, `traffic`,
 //! `response_sizes`, `load_reports`, `quarantine`, `events`. A task that holds one lock acquires only
 //! later ones. No lock is held across an await point. `held_bytes` locks for single additions and is
 //! acquired last. The admission state is private to the sidecar and never locked together with these.
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::drain_time;
 use crate::event;
+use crate::freshness;
 use crate::ids;
 use crate::load_report;
 use crate::member;
@@ -51,6 +52,7 @@
     /// Name of the daemon, for log lines.
     daemon: ids::DaemonName,
     policy: sync::RwLock<Policy>,
+    freshness: sync::Mutex<freshness::Freshness>,
     membership: sync::Mutex<membership::Membership>,
     router: sync::Mutex<router::Router>,
     /// Upstreams of each service in all membership records.
@@ -94,6 +96,7 @@
             clock,
             daemon: own_record.daemon.clone(),
             policy: Default::default(),
+            freshness: Default::default(),
             membership: sync::Mutex::new(membership::Membership::new(own_record)),
             router: sync::Mutex::new(router),
             upstream_counts: Default::default(),
@@ -168,6 +171,20 @@
         self.record_event(event::Kind::PolicyInForce { version });
     }
 
+    /// Locks the freshness of the policy. It takes [`boot_time`](Self::boot_time).
+    pub fn freshness(&self) -> sync::MutexGuard<'_, freshness::Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// Returns this daemon's place among those that pass on confirmations of the policy.
+    pub fn relay(&self) -> membership::Relay {
+        let mut freshness = self.freshness();
+        let suspects = freshness.suspects(self.boot_time());
+        let is_failing = freshness.is_failing();
+        drop(freshness);
+        self.membership().relay(&suspects, is_failing, self.now())
+    }
+
     /// Locks the membership.
     pub fn membership(&self) -> sync::MutexGuard<'_, membership::Membership> {
         lock(&self.membership)
@@ -202,16 +219,16 @@
         lock(&self.quota_owner)
     }
 
-    /// Returns the time for quotas. Unlike [`now`](Self::now) it advances while the VM is suspended,
-    /// so that tokens expire meanwhile.
-    pub fn quota_now(&self) -> time::Instant {
+    /// Returns the monotonic time for what must expire also while the VM is suspended: tokens of quotas
+    /// and confirmations of the policy. Unlike it, [`now`](Self::now) stands still meanwhile.
+    pub fn boot_time(&self) -> time::Instant {
         self.clock.now() + self.clock.suspended()
     }
 
     /// Lends tokens to the ingress of `daemon` from the quotas that this daemon owns. Asks for
     /// organisations that it does not own, or that the policy does not limit, get no grant.
     pub fn lend(&self, daemon: &ids::DaemonName, asks: &[message::Ask]) -> Vec<message::Grant> {
-        let (policy, now, quota_now) = (self.policy(), self.now(), self.quota_now());
+        let (policy, now, boot_time) = (self.policy(), self.now(), self.boot_time());
         let mut grants = Vec::new();
         for ask in asks.iter().take(message::ASKS_MAX) {
             let Some(limit) = policy.quota(&ask.organisation) else { continue };
@@ -220,7 +237,7 @@
                 continue;
             }
             let mut owner = self.quota_owner();
-            grants.push(owner.lend(daemon, ask, &limit, placement.position, quota_now));
+            grants.push(owner.lend(daemon, ask, &limit, placement.position, boot_time));
         }
         grants
     }
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -379,7 +379,7 @@
         let Some(limit) = route_match.quota else { return Ok(()) };
         let signals = &self.sidecar.quota_signals;
         let organisation = &route_match.organisation;
-        let arrived = self.shared.quota_now();
+        let arrived = self.shared.boot_time();
         let mut now = arrived;
         loop {
             let mut granted = std::pin::pin!(signals.granted.notified());
@@ -401,7 +401,7 @@
                     let _ = tokio::time::timeout(remaining, granted).await;
                 }
             }
-            now = self.shared.quota_now();
+            now = self.shared.boot_time();
         }
     }
 
