Log control messages without response with peer, kind and time

The RPC library's "ERROR DeadlineExceeded" named neither the peer nor the message. The control client now logs event=control-call with kind, peer, reason and took_ms, once per connection that is given up, and counts all failures in lynxmast_control_calls_failed_total{kind, reason}. Lines of the library are off by default.

--- a/crates/coordination/src/control_client.rs
+++ b/crates/coordination/src/control_client.rs
@@ -1,5 +1,6 @@
 //! Client for control messages to other daemons.
 
+use std::future;
 use std::net;
 use std::sync;
 use std::time;
@@ -66,9 +67,11 @@
         to: net::SocketAddr,
         message: membership::GossipMessage,
     ) -> Result<membership::GossipMessage, ControlError> {
-        let client = self.client(to).await?;
-        let response = client.exchange(default_context(), self.sender.clone(), message).await;
-        self.check_response(to, response)
+        let sender = self.sender.clone();
+        let send = |client: control::ControlClient| async move {
+            client.exchange(context_with_timeout(RESPONSE_TIMEOUT), sender, message).await
+        };
+        self.call(to, "gossip", send).await
     }
 
     /// Requests tokens of quotas from the daemon at `to`, which owns them.
@@ -81,10 +84,7 @@
         to: net::SocketAddr,
         asks: Vec<message::Ask>,
     ) -> Result<Vec<message::Grant>, ControlError> {
-        let client = self.client(to).await?;
-        let context = context_with_timeout(spender::ASK_TIMEOUT);
-        let response = client.lend(context, self.sender.clone(), asks).await;
-        self.check_response(to, response)
+        self.lend_for(self.sender.daemon.clone(), to, asks).await
     }
 
     /// Requests tokens from the daemon at `owner` through the one at `to`.
@@ -98,10 +98,12 @@
         owner: net::SocketAddr,
         asks: Vec<message::Ask>,
     ) -> Result<Vec<message::Grant>, ControlError> {
-        let client = self.client(to).await?;
-        let context = context_with_timeout(spender::ASK_TIMEOUT);
-        let response = client.relay_lend(context, self.sender.clone(), owner, asks).await;
-        self.check_response(to, response)
+        let sender = self.sender.clone();
+        let send = |client: control::ControlClient| async move {
+            let context = context_with_timeout(spender::ASK_TIMEOUT);
+            client.relay_lend(context, sender, owner, asks).await
+        };
+        self.call(to, "relayed-quota", send).await
     }
 
     /// Passes on the asks of `daemon` to the daemon at `to`, which owns the quotas.
@@ -115,10 +117,11 @@
         to: net::SocketAddr,
         asks: Vec<message::Ask>,
     ) -> Result<Vec<message::Grant>, ControlError> {
-        let client = self.client(to).await?;
         let sender = control::Sender { daemon, secret: self.sender.secret.clone() };
-        let response = client.lend(context_with_timeout(spender::ASK_TIMEOUT), sender, asks).await;
-        self.check_response(to, response)
+        let send = |client: control::ControlClient| async move {
+            client.lend(context_with_timeout(spender::ASK_TIMEOUT), sender, asks).await
+        };
+        self.call(to, "quota", send).await
     }
 
     /// Requests the policy records, starting at offset `from`.
@@ -131,11 +134,11 @@
         to: net::SocketAddr,
         from: u64,
     ) -> Result<control::CatchUp, ControlError> {
-        let client = self.client(to).await?;
-        let response = client
-            .catch_up(context_with_timeout(CATCH_UP_TIMEOUT), self.sender.clone(), from)
-            .await;
-        self.check_response(to, response)
+        let sender = self.sender.clone();
+        let send = |client: control::ControlClient| async move {
+            client.catch_up(context_with_timeout(CATCH_UP_TIMEOUT), sender, from).await
+        };
+        self.call(to, "policy", send).await
     }
 
     /// Requests a confirmation of the policy from the daemon at `to`, which holds the message for at most
@@ -150,26 +153,53 @@
         version: ids::PolicyVersion,
         age: Option<time::Duration>,
     ) -> Result<control::Confirmation, ControlError> {
-        let client = self.client(to).await?;
-        let context = context_with_timeout(confirmations::HOLD_MAX + RESPONSE_TIMEOUT);
-        let response = client.confirm(context, self.sender.clone(), version, age).await;
-        self.check_response(to, response)
+        let sender = self.sender.clone();
+        let send = |client: control::ControlClient| async move {
+            let context = context_with_timeout(confirmations::HOLD_MAX + RESPONSE_TIMEOUT);
+            client.confirm(context, sender, version, age).await
+        };
+        self.call(to, "confirmation", send).await
     }
 
-    fn check_response<T>(
+    /// Sends one message with `send` on a connection to the daemon at `to`. `kind` names the message in
+    /// the log and the metrics.
+    async fn call<T, F>(
         &self,
         to: net::SocketAddr,
-        response: Result<Option<T>, client::RpcError>,
-    ) -> Result<T, ControlError> {
-        match response {
-            Ok(Some(response)) => Ok(response),
-            Ok(None) => Err(ControlError::Unauthorised),
-            Err(_) => {
-                // The connection may be dead, so the next message opens a new one.
-                self.lock().shift_remove(&to);
-                Err(ControlError::NoResponse)
+        kind: &'static str,
+        send: impl FnOnce(control::ControlClient) -> F,
+    ) -> Result<T, ControlError>
+    where
+        F: future::Future<Output = Result<Option<T>, client::RpcError>>,
+    {
+        let started = time::Instant::now();
+        let result = match self.client(to).await {
+            Ok(client) => send(client).await,
+            Err(error) => {
+                count_failure(kind, "connect");
+                return Err(error);
             }
+        };
+        let error = match result {
+            Ok(Some(response)) => return Ok(response),
+            Ok(None) => {
+                count_failure(kind, "unauthorised");
+                return Err(ControlError::Unauthorised);
+            }
+            Err(error) => error,
+        };
+        let reason = match error {
+            client::RpcError::DeadlineExceeded => "deadline",
+            _ => "connection",
+        };
+        count_failure(kind, reason);
+        let took_ms = started.elapsed().as_millis() as u64;
+        // The connection may be dead, so the next message opens a new one. Only the message that finds
+        // this out is logged, which bounds the number of lines.
+        if self.lock().shift_remove(&to).is_some() {
+            log::info!(event = "control-call", kind, peer:% = to, reason, took_ms; "no response");
         }
+        Err(ControlError::NoResponse)
     }
 
     async fn client(&self, to: net::SocketAddr) -> Result<control::ControlClient, ControlError> {
@@ -207,8 +237,9 @@
     codec::LengthDelimitedCodec::builder().max_frame_length(MESSAGE_MAX_BYTES).new_codec()
 }
 
-fn default_context() -> context::Context {
-    context_with_timeout(RESPONSE_TIMEOUT)
+fn count_failure(kind: &'static str, reason: &'static str) {
+    metrics::counter!("lynxmast_control_calls_failed_total", "kind" => kind, "reason" => reason)
+        .increment(1);
 }
 
 fn context_with_timeout(timeout: time::Duration) -> context::Context {
--- a/crates/lynxmastd/src/logging.rs
+++ b/crates/lynxmastd/src/logging.rs
@@ -7,8 +7,9 @@
 
 use crate::log_queue;
 
-/// Filter used if `RUST_LOG` is not set; at level `info` the RPC library logs every message.
-const DEFAULT_FILTER: &str = "info,tarpc=warn";
+/// Filter used if `RUST_LOG` is not set. The RPC library does not name the peer or the message in its
+/// lines; the control client logs its failures instead.
+const DEFAULT_FILTER: &str = "info,tarpc=off";
 
 /// Installs the logger. The returned handle flushes pending lines before the process exits.
 ///
