Apply a changed service of the local backend server at a reload

Cause: the ingress took the service from the settings once, at its start.

Change: the service is shared with the daemon and replaced when a reload of the settings, by SIGHUP or by the check of the file, finds another one.

--- a/crates/lynxmastd/src/daemon.rs
+++ b/crates/lynxmastd/src/daemon.rs
@@ -58,6 +58,8 @@
     tasks: TaskTracker,
     /// Notified when the VM resumes after a suspension, as the policy may then be outdated.
     resumed: sync::Arc<tokio::sync::Notify>,
+    /// Service of the local backend server, from the settings.
+    local_service: sync::Arc<sync::RwLock<ids::ServiceName>>,
     /// Confirmations of the policy.
     confirmations: sync::Arc<confirmations::Confirmations<C>>,
 }
@@ -178,7 +180,7 @@
         self.serve(sidecar_port, sidecar_server);
         let identity = ingress::Identity {
             secret: settings.secret,
-            service: settings.service,
+            service: self.local_service.clone(),
             header_scheme: sidecar.header_scheme(),
         };
         let ingress = sync::Arc::new(ingress::Ingress::new(shared.clone(), sidecar, identity));
@@ -391,6 +393,15 @@
         });
     }
 
+    /// Sets the service of the local backend server, which requests that begin on this VM state.
+    pub fn set_local_service(&self, service: &str) {
+        let mut local = self.local_service.write().unwrap_or_else(sync::PoisonError::into_inner);
+        if **local != *service {
+            log::info!(event = "local-service", service, previous = &**local; "");
+            *local = service.into();
+        }
+    }
+
     fn name(&self) -> ids::DaemonName {
         self.shared.membership().own_record().daemon.clone()
     }
@@ -425,6 +436,7 @@
             confirmations: sync::Arc::new(confirmations::Confirmations::new(shared.clone())),
             sidecar: sync::Arc::new(sidecar::Sidecar::new(shared, options)),
             limits: settings.limits.clone(),
+            local_service: sync::Arc::new(sync::RwLock::new(settings.service.as_str().into())),
             ingress_stop: CancellationToken::new(),
             stop: CancellationToken::new(),
             ingress_tasks: TaskTracker::new(),
--- a/crates/lynxmastd/src/main.rs
+++ b/crates/lynxmastd/src/main.rs
@@ -138,15 +138,16 @@
         eprintln!("lynxmastd: cannot listen for signals");
         return process::ExitCode::from(EXIT_START);
     };
-    let apply_services = |services: &settings::Services| {
+    let apply = |settings: &settings::Settings| {
+        daemon.set_local_service(&settings.service);
         if let Some(platform) = &platform {
-            daemon.update_services(&platform.update_services(services));
+            daemon.update_services(&platform.update_services(&settings.services));
         }
     };
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
-        () = reloader.run(hangup, apply_services) => {}
+        () = reloader.run(hangup, apply) => {}
     }
     tokio::select! {
         result = daemon.shutdown() => match result {
--- a/crates/lynxmastd/src/reload.rs
+++ b/crates/lynxmastd/src/reload.rs
@@ -23,7 +23,7 @@
 pub enum ReloadResult {
     /// The settings have not changed.
     Unchanged,
-    /// Only settings of services changed; they are active now.
+    /// Only settings of services and of the local backend server changed; they are active now.
     InForce,
     /// Other settings changed too; those become active when the daemon is restarted.
     AtNextStart,
@@ -42,8 +42,8 @@
     }
 
     /// Reloads the settings on each signal and when the file has changed. Calls `apply` with the
-    /// settings of services if they changed. Never returns.
-    pub async fn run(mut self, mut hangup: unix::Signal, apply: impl Fn(&settings::Services)) {
+    /// settings if those that need no restart changed. Never returns.
+    pub async fn run(mut self, mut hangup: unix::Signal, apply: impl Fn(&settings::Settings)) {
         loop {
             let is_signalled = tokio::select! {
                 signal = hangup.recv() => signal.is_some(),
@@ -62,8 +62,8 @@
         text.is_some() && text != self.text
     }
 
-    /// Reads and validates the settings once, applies those of services and logs the result.
-    pub fn reload(&mut self, apply: impl Fn(&settings::Services)) -> ReloadResult {
+    /// Reads and validates the settings once, applies those that need no restart and logs the result.
+    pub fn reload(&mut self, apply: impl Fn(&settings::Settings)) -> ReloadResult {
         let text = std::fs::read_to_string(&self.file);
         self.text = text.as_ref().ok().cloned();
         let read_error = |error| settings::SettingsError::Read(self.file.clone(), error);
@@ -80,8 +80,8 @@
             }
         };
         let result = self.compare(&new);
-        if new.services != self.current.services {
-            apply(&new.services);
+        if new.services != self.current.services || new.service != self.current.service {
+            apply(&new);
         }
         self.current = new;
         log::info!(event = "reload", result:? = result; "settings reloaded");
@@ -93,13 +93,9 @@
         if *new == self.current {
             return ReloadResult::Unchanged;
         }
-        let services = self.current.services.clone();
-        let without_services = settings::Settings { services, ..new.clone() };
-        if without_services == self.current {
-            ReloadResult::InForce
-        } else {
-            ReloadResult::AtNextStart
-        }
+        let settings::Settings { service, services, .. } = self.current.clone();
+        let unchanged = settings::Settings { service, services, ..new.clone() };
+        if unchanged == self.current { ReloadResult::InForce } else { ReloadResult::AtNextStart }
     }
 }
 
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -69,8 +69,9 @@
 pub struct Identity {
     /// Shared secret that authenticates daemons to each other.
     pub secret: String,
-    /// Service of the local backend server; empty if none is configured.
-    pub service: String,
+    /// Service of the local backend server; empty if none is configured. It changes when the VM gets a
+    /// backend server of another service.
+    pub service: sync::Arc<sync::RwLock<ids::ServiceName>>,
     /// Names and units of the headers exchanged with callers and backend servers.
     pub header_scheme: sync::Arc<header_scheme::HeaderScheme>,
 }
@@ -263,6 +264,11 @@
         room.map(|wait| wait.max(RETRY_AFTER_MIN))
     }
 
+    /// Returns the service of the local backend server.
+    fn local_service(&self) -> ids::ServiceName {
+        self.identity.service.read().unwrap_or_else(sync::PoisonError::into_inner).clone()
+    }
+
     /// Does periodic work: closes connections to sidecars of daemons that have left the membership, and
     /// updates the load report and the plans of requests that leave the failure domain.
     pub fn tick(&self) {
@@ -295,7 +301,7 @@
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
         let idempotent =
             route_match.route.idempotent && !head.headers.contains_key(names::IDEMPOTENCY_KEY);
-        scheme.sanitise(&mut head.headers, &self.identity.service);
+        scheme.sanitise(&mut head.headers, &self.local_service());
         hop::strip_internal_headers(&mut head.headers);
         hop::strip_hop_by_hop_headers(&mut head.headers);
         if policy.has_organisations() {
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -37,7 +37,7 @@
     /// Returns the probability that a request to a service is a call that a local backend server
     /// makes while serving a retry. A service does not call itself.
     pub(super) fn retry_probability(&self, service: &service::Service) -> f64 {
-        let is_local = *service.name == *self.identity.service;
+        let is_local = service.name == self.local_service();
         if is_local { 0.0 } else { self.sidecar.retry_probability() }
     }
 
