Let readers that others confirm wait at the store for 29 s from the start

Cause: a reader without a confirmation of its peers yet made waits of about 1 s, so each start cost one more call a reader.

Change: only the root waits for a second. Others wait for 29 s (30 are allowed); a wait is given up when the newest confirmation is overdue, as before, so the bound is the same.

--- a/crates/state/src/freshness.rs
+++ b/crates/state/src/freshness.rs
@@ -52,8 +52,8 @@
 /// Failed reads in a row for which a daemon looks for another peer. With more, the source is away and
 /// nobody can confirm the policy.
 const SEARCH_FAILURES: u32 = 3;
-/// Longest wait for news at the source by a daemon that others confirm.
-const WAIT_MAX: time::Duration = time::Duration::from_secs(25);
+/// Wait for news at the source by a daemon that others confirm.
+const WAIT_MAX: time::Duration = time::Duration::from_secs(29);
 /// Shortest wait for news at the source.
 const WAIT_MIN: time::Duration = time::Duration::from_millis(50);
 /// Backoff after the first failed read; doubles with each further one.
@@ -180,14 +180,13 @@
     }
 
     /// Returns how long this daemon should wait for news at the source: until the next confirmation is
-    /// due if others rely on it, and for long if others confirm its policy.
+    /// due at the root of the tree, and for long elsewhere, as others confirm the policy. A long wait is
+    /// given up if they do not, see [`Freshness::read_due`].
     pub fn wait(&self, relay: &membership::Relay, now: time::Instant) -> time::Duration {
-        if relay.parent.is_some() && self.is_relayed(now) {
+        if relay.parent.is_some() {
             return WAIT_MAX;
         }
-        // The delay lets a confirmation of the daemons above arrive first.
-        let delay = relay.parent.as_ref().map_or(time::Duration::ZERO, |_| relay.delay);
-        (INTERVAL + delay).saturating_sub(self.age(now).unwrap_or(INTERVAL)).max(WAIT_MIN)
+        INTERVAL.saturating_sub(self.age(now).unwrap_or(INTERVAL)).max(WAIT_MIN)
     }
 
     /// Returns whether peers keep confirming this daemon's policy.
