Pause before a wait that the store rejects is repeated

Cause: since a failed wait at the store was followed by a new call at once. A store that rejects waits and responds to other calls got both without a pause.

Change: only a wait that took at least 0.3 s, so that it was lost, and one that ended in a restore are followed by a call at once. Others are followed by a backoff, as before.

Test: without the change rejected_waits_are_repeated_with_a_backoff does not end (stopped after 10 minutes); it passes with it.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -54,6 +54,9 @@
 const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Time between two checks for contact with the peers.
 const CONTACT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
+/// Time within which a wait that the source rejects fails; one that is lost takes longer.
+const REJECTION_TIME_MAX: time::Duration = time::Duration::from_millis(300);
+
 impl<C: clock::Clock, S: document_source::DocumentSource> DocumentFollower<C, S> {
     /// Follows the source until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
@@ -73,7 +76,7 @@
                 }
             }
             let (resumed, confirmations) = (self.resumed.clone(), self.confirmations.clone());
-            let was_following = is_following;
+            let (was_following, started) = (is_following, time::Instant::now());
             let result = tokio::select! {
                 result = self.update(is_following, &relay) => result,
                 () = confirmations.until_read_due(&relay, true), if is_following => {
@@ -103,8 +106,11 @@
                 }
                 continue;
             }
-            // The new call is made at once, as others may rely on this daemon.
-            if was_following {
+            // A new call is made at once, as others may rely on this daemon, unless the source rejects
+            // waits.
+            let is_lost = time::Instant::now() - started >= REJECTION_TIME_MAX;
+            let is_restored = result == Err(platform_log::PlatformError::Restored);
+            if was_following && (is_lost || is_restored) {
                 continue;
             }
             let (jitter, now) = (rand::rng().random_range(0.0..1.0), self.shared.boot_time());
--- a/crates/coordination/src/document_follower/tests.rs
+++ b/crates/coordination/src/document_follower/tests.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone, Default)]
 struct CountingSource {
     is_empty: bool,
+    rejects_waits: bool,
     /// Calls for the newest document.
     newest: sync::Arc<atomic::AtomicU32>,
     /// Calls that wait for an update.
@@ -33,6 +34,9 @@
         _: time::Duration,
     ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
         self.waits.fetch_add(1, atomic::Ordering::AcqRel);
+        if self.rejects_waits {
+            return Err(platform_log::PlatformError::CallFailed);
+        }
         std::future::pending().await
     }
 }
@@ -88,11 +92,10 @@
     running.await.expect("the follower ends without a panic");
 }
 
-/// Starts a follower of an empty source and returns the number of its waits after twice the time
-/// between checks of its role. `others` are the daemons of its domain that follow the source.
-async fn count_waits(others: &[&str]) -> u32 {
-    let (source, shared) =
-        (CountingSource { is_empty: true, ..Default::default() }, shared_state());
+/// Starts a follower of `source` and returns the number of its waits after twice the time between checks
+/// of its role. `others` are the daemons of its domain that follow the source.
+async fn count_waits(source: CountingSource, others: &[&str]) -> u32 {
+    let shared = shared_state();
     let records = others.iter().map(|name| {
         let record = record(name);
         member::Record { follows_source: true, ..record }
@@ -122,5 +125,14 @@
     others: &[&str],
     expected: u32,
 ) {
-    assert_eq!(count_waits(others).await, expected);
+    let source = CountingSource { is_empty: true, ..Default::default() };
+    assert_eq!(count_waits(source, others).await, expected);
+}
+
+// Guards against calls without a pause to a source that rejects waits and responds to other calls.
+#[tokio::test]
+async fn rejected_waits_are_repeated_with_a_backoff() {
+    let source = CountingSource { is_empty: true, rejects_waits: true, ..Default::default() };
+    let waits = count_waits(source, &[]).await;
+    assert!((1..=10).contains(&waits), "{waits} waits in one second");
 }
