Read a failing store again within 2.7 s, whoever was lost meanwhile

Callers of a daemon could get a configuration up to 6 s too old after an outage of the store: the backoff of most daemons grew to 6 s, and a read without response took 1.5 s more, as readers were trusted to notice the end of the outage. Readers that are lost during it tell nobody. From 3 s after an outage, a new configuration must be in use 2 s after its acknowledgement.

The time between two reads now includes the time that the failed one took, and is at most 2.7 s. Daemons whose reads began to fail together spread over the longest backoff once, so that the calls stay even.

The model of `freshness` used the same jitter for all reads of a daemon, while the product draws one for each read. It now differs between reads; the bounds are unchanged.

--- a/crates/coordination/src/document_follower.rs
+++ b/crates/coordination/src/document_follower.rs
@@ -76,7 +76,7 @@
                 }
             }
             let (resumed, confirmations) = (self.resumed.clone(), self.confirmations.clone());
-            let (was_following, started) = (is_following, time::Instant::now());
+            let (was_following, started) = (is_following, self.shared.boot_time());
             let result = tokio::select! {
                 result = self.update(is_following, &relay) => result,
                 () = confirmations.until_read_due(&relay, true), if is_following => {
@@ -108,13 +108,15 @@
             }
             // A new call is made at once, as others may rely on this daemon, unless the source rejects
             // waits.
-            let is_lost = time::Instant::now() - started >= REJECTION_TIME_MAX;
+            let now = self.shared.boot_time();
+            let is_lost = now.saturating_duration_since(started) >= REJECTION_TIME_MAX;
             let is_restored = result == Err(platform_log::PlatformError::Restored);
             if was_following && (is_lost || is_restored) {
                 continue;
             }
-            let (jitter, now) = (rand::rng().random_range(0.0..1.0), self.shared.boot_time());
-            let backoff = self.shared.freshness().record_failure(relay.is_reader, jitter, now);
+            let jitter = rand::rng().random_range(0.0..1.0);
+            let backoff =
+                self.shared.freshness().record_failure(relay.is_reader, jitter, started, now);
             stop.run_until_cancelled(tokio::time::sleep(backoff)).await;
         }
     }
--- a/crates/coordination/src/document_follower/tests.rs
+++ b/crates/coordination/src/document_follower/tests.rs
@@ -136,3 +136,67 @@
     let waits = count_waits(source, &[]).await;
     assert!((1..=10).contains(&waits), "{waits} waits in one second");
 }
+
+/// Source whose reads all fail after `read_time`.
+#[derive(Debug)]
+struct FailingSource {
+    clock: clock::ManualClock,
+    read_time: time::Duration,
+    /// Times of the reads.
+    reads: sync::Arc<sync::Mutex<Vec<tokio::time::Instant>>>,
+}
+
+impl document_source::DocumentSource for FailingSource {
+    async fn newest(
+        &mut self,
+    ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
+        self.reads.lock().expect("no thread panicked").push(tokio::time::Instant::now());
+        tokio::time::sleep(self.read_time).await;
+        self.clock.advance(self.read_time);
+        Err(platform_log::PlatformError::CallFailed)
+    }
+
+    async fn wait_for_update(
+        &mut self,
+        _: time::Duration,
+    ) -> Result<Option<document_source::Revision>, platform_log::PlatformError> {
+        panic!("a daemon does not wait for news before its first read has succeeded")
+    }
+}
+
+/// Time after an outage of the source from which new versions must again be in use in time.
+const RECOVERY_TIME: time::Duration = time::Duration::from_secs(3);
+
+// Guards against daemons whose backoff outlasts an outage of the source, because they trust others that
+// may have been lost meanwhile to notice its end.
+#[test_case::test_case(time::Duration::from_millis(5); "rejected")]
+#[test_case::test_case(time::Duration::from_millis(1500); "without response")]
+#[tokio::test(start_paused = true)]
+async fn a_source_that_fails_is_read_again_within_its_recovery_time(read_time: time::Duration) {
+    let shared = shared_state();
+    let records = ["d1", "d2", "d3"].map(record);
+    let message = membership::GossipMessage { records: records.into(), ..Default::default() };
+    shared.membership().apply(&message, shared.now());
+    let reads = sync::Arc::default();
+    let follower = DocumentFollower {
+        source: FailingSource {
+            clock: shared.clock.clone(),
+            read_time,
+            reads: sync::Arc::clone(&reads),
+        },
+        confirmations: confirmations::Confirmations::new(shared.clone()).into(),
+        shared,
+        state: Default::default(),
+        resumed: Default::default(),
+    };
+    let stop = CancellationToken::new();
+    let running = tokio::spawn(follower.run(stop.clone()));
+    tokio::time::sleep(RECOVERY_TIME * 20).await;
+    stop.cancel();
+    running.await.expect("the follower ends without a panic");
+    let reads = reads.lock().expect("no thread panicked");
+    let gaps: Vec<_> = reads.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    let longest = gaps.iter().max().expect("several reads");
+    assert!(*longest < RECOVERY_TIME, "{longest:?} between two reads");
+    assert!(gaps.len() < 60, "{} reads in 60 s", gaps.len());
+}
--- a/crates/state/src/freshness.rs
+++ b/crates/state/src/freshness.rs
@@ -56,13 +56,13 @@
 const WAIT_MAX: time::Duration = time::Duration::from_secs(29);
 /// Shortest wait for news at the source.
 const WAIT_MIN: time::Duration = time::Duration::from_millis(50);
-/// Backoff after the first failed read; doubles with each further one.
+/// Time between the first failed read and the next one; doubles with each further one.
 const BACKOFF_MIN: time::Duration = time::Duration::from_millis(200);
-/// Longest backoff of a daemon that reads for others, shorter than the time in which a new version must
-/// be in use, so that the recovery of the source is noticed in time.
+/// Longest time between the reads of a daemon that reads for others, while they fail.
 const READER_BACKOFF_MAX: time::Duration = time::Duration::from_millis(1500);
-/// Longest backoff of the other daemons, which mostly learn of the recovery from their peers.
-const BACKOFF_MAX: time::Duration = time::Duration::from_secs(6);
+/// Longest time between the reads of the other daemons, while they fail. New versions must again be in
+/// use in time from 3 s after an outage of the source, whoever was lost meanwhile.
+const BACKOFF_MAX: time::Duration = time::Duration::from_millis(2700);
 
 impl Freshness {
     /// Returns the age of the newest confirmation; `None` if there has been none.
@@ -98,20 +98,32 @@
         Some(peer)
     }
 
-    /// Records that a read failed and returns the time until the next one. `jitter` between 0 and 1
-    /// keeps daemons from repeating failed reads at the same time.
+    /// Records that a read which was sent at `sent` has failed, and returns the time until the next one.
+    /// The backoff includes the time that the read took, as a source that responds again does not respond
+    /// to reads from before. `jitter` between 0 and 1 keeps daemons from repeating failed reads at the
+    /// same time.
     pub fn record_failure(
         &mut self,
         is_reader: bool,
         jitter: f64,
+        sent: time::Instant,
         now: time::Instant,
     ) -> time::Duration {
         let longest = if is_reader { READER_BACKOFF_MAX } else { BACKOFF_MAX };
-        let backoff = BACKOFF_MIN.saturating_mul(1 << self.failures.min(8)).min(longest);
-        let backoff = backoff.mul_f64(0.5 + jitter.clamp(0.0, 1.0) / 2.0);
+        let doubled = BACKOFF_MIN.saturating_mul(1 << self.failures.min(8));
+        // Daemons whose reads began to fail together spread over the longest backoff once, and then keep
+        // their distances.
+        let share_min = match doubled {
+            _ if doubled < longest => 0.5,
+            _ if doubled < longest * 2 => 0.0,
+            _ => 1.0,
+        };
+        let share = share_min + (1.0 - share_min) * jitter.clamp(0.0, 1.0);
+        let backoff = doubled.min(longest).mul_f64(share);
         self.failures = self.failures.saturating_add(1);
-        self.retry = Some(now + backoff);
-        backoff
+        let retry = (sent + backoff).max(now + BACKOFF_MIN / 2);
+        self.retry = Some(retry);
+        retry.saturating_duration_since(now)
     }
 
     /// Records that `peer` is being asked.
--- a/crates/state/src/freshness/tests.rs
+++ b/crates/state/src/freshness/tests.rs
@@ -25,6 +25,12 @@
     SlowSource,
     /// Reads get no response.
     SilentSource,
+    /// The source goes silent for a while; reads that it has not answered by then get no response.
+    Outage,
+    /// The same, and the readers are paused before the source responds again.
+    OutageReadersPaused,
+    /// The same, and the readers are killed before the source responds again.
+    OutageReadersKilled,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +52,8 @@
     sent: time::Instant,
     /// Time for which the source waits for news; `None` if it responds at once.
     wait: Option<time::Duration>,
+    /// Whether the source has been silent meanwhile.
+    is_lost: bool,
 }
 
 struct Daemon {
@@ -61,6 +69,8 @@
     records: Vec<member::Record>,
     daemons: Vec<Daemon>,
     fault: Fault,
+    /// Time at which an outage of the source ends.
+    outage_end: time::Duration,
     start: time::Instant,
     now: time::Instant,
     /// Times of the calls to the source.
@@ -78,9 +88,23 @@
 const END: time::Duration = time::Duration::from_secs(12);
 /// Time in which a new version must be in use, and so the largest age of a confirmation.
 const APPLY_TIME: time::Duration = time::Duration::from_secs(2);
+/// Time after the end of an outage from which new versions must again be in use in time.
+const RECOVERY_TIME: time::Duration = time::Duration::from_secs(3);
+/// Time before the end of an outage at which readers are lost.
+const LOSS_LEAD: time::Duration = time::Duration::from_millis(200);
+/// Time after which a read without response has failed, and the same after the end of its wait.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
+const WAIT_END_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Further time for daemons that the source rejects.
 const PARTITION_TIME: time::Duration = time::Duration::from_secs(5);
 
+impl Daemon {
+    fn lost_read_timeout(&self) -> time::Duration {
+        let is_waiting = self.read.as_ref().is_some_and(|read| read.wait.is_some());
+        if is_waiting { WAIT_END_TIMEOUT } else { READ_TIMEOUT }
+    }
+}
+
 impl Fleet {
     fn new(size: usize, fault: Fault) -> Self {
         let address = net::SocketAddr::from(([127, 0, 0, 1], 1));
@@ -100,7 +124,8 @@
         };
         let daemons = records.iter().map(daemon).collect();
         let start = time::Instant::now();
-        Self { records, daemons, fault, start, now: start, calls: Vec::new() }
+        let outage_end = FAULT_START;
+        Self { records, daemons, fault, outage_end, start, now: start, calls: Vec::new() }
     }
 
     fn elapsed(&self) -> time::Duration {
@@ -111,9 +136,14 @@
         self.fault == fault && self.elapsed() >= FAULT_START
     }
 
+    fn is_in_outage(&self) -> bool {
+        (FAULT_START..self.outage_end).contains(&self.elapsed())
+    }
+
     fn apply_fault(&mut self) {
         let since = self.elapsed().saturating_sub(FAULT_START);
         let is_start = self.elapsed() == FAULT_START;
+        let is_before_end = self.elapsed() + LOSS_LEAD == self.outage_end;
         let turn = since.as_millis() as usize / 1000;
         let is_turn = self.elapsed() >= FAULT_START && since.as_millis().is_multiple_of(1000);
         let size = self.daemons.len();
@@ -128,6 +158,12 @@
             match self.fault {
                 Fault::ReadersPaused if is_start && is_reader => daemon.process = Process::Paused,
                 Fault::ReadersKilled if is_start && is_reader => daemon.process = Process::Killed,
+                Fault::OutageReadersPaused if is_before_end && is_reader => {
+                    daemon.process = Process::Paused;
+                }
+                Fault::OutageReadersKilled if is_before_end && is_reader => {
+                    daemon.process = Process::Killed;
+                }
                 Fault::ReadersRefused if is_start => daemon.is_refused = is_reader,
                 Fault::KilledInTurn if is_turn && rank == turn => daemon.process = Process::Killed,
                 Fault::PausedInTurn if is_turn && rank == turn => daemon.process = Process::Paused,
@@ -158,14 +194,24 @@
     fn finish_read(&mut self, index: usize) {
         let is_silent = self.has_fault(Fault::SilentSource);
         let is_slow = self.has_fault(Fault::SlowSource);
+        let is_in_outage = self.is_in_outage();
+        // Differs between the reads of a daemon, as the random one of the product.
+        let jitter = ((index * 37 + self.calls.len() * 61) % 100) as f64 / 100.0;
         let (daemon, now) = (&mut self.daemons[index], self.now);
-        let time = if is_slow { SLOW_READ_TIME } else { READ_TIME };
+        if let Some(read) = &mut daemon.read {
+            read.is_lost |= is_in_outage;
+        }
+        let is_lost = daemon.read.as_ref().is_some_and(|read| read.is_lost);
+        let time = match is_lost {
+            true => daemon.lost_read_timeout(),
+            false if is_slow => SLOW_READ_TIME,
+            false => READ_TIME,
+        };
         let is_over = |read: &mut Read| now >= read.sent + read.wait.unwrap_or_default() + time;
         // A pending read gets no response if the source goes silent or rejects the daemon meanwhile.
         let Some(read) = daemon.read.take_if(is_over) else { return };
-        if is_silent || daemon.is_refused {
-            let jitter = (index * 37 % 100) as f64 / 100.0;
-            daemon.freshness.record_failure(daemon.relay.is_reader, jitter, now);
+        if is_silent || is_lost || daemon.is_refused {
+            daemon.freshness.record_failure(daemon.relay.is_reader, jitter, read.sent, now);
         } else {
             daemon.freshness.record_read(read.sent + read.wait.unwrap_or_default(), now);
         }
@@ -183,9 +229,10 @@
         }
         let is_due = freshness.read_due(relay, is_waiting, now).is_none_or(|due| now >= due);
         if is_due {
-            daemon.read = Some(Read { sent: now, wait: None });
+            daemon.read = Some(Read { sent: now, wait: None, is_lost: false });
         } else if relay.is_reader && !is_waiting && !freshness.is_failing() {
-            daemon.read = Some(Read { sent: now, wait: Some(freshness.wait(relay, now)) });
+            daemon.read =
+                Some(Read { sent: now, wait: Some(freshness.wait(relay, now)), is_lost: false });
         } else {
             return;
         }
@@ -293,6 +340,28 @@
     assert!(refused < limit, "the oldest confirmation at a rejected daemon is {refused:?} old");
 }
 
+// Guards against daemons whose backoff outlasts an outage of the source, because they trust readers that
+// have been lost meanwhile to notice its end.
+#[test_case::test_matrix(
+    [3, 27, 235, 710],
+    [Fault::Outage, Fault::OutageReadersPaused, Fault::OutageReadersKilled],
+    [2100, 9700]
+)]
+fn confirmations_are_renewed_in_time_after_an_outage(size: usize, fault: Fault, outage_ms: u64) {
+    let mut fleet = Fleet::new(size, fault);
+    fleet.outage_end = FAULT_START + time::Duration::from_millis(outage_ms);
+    let recovered = fleet.outage_end + RECOVERY_TIME;
+    let mut oldest = time::Duration::ZERO;
+    while fleet.elapsed() < recovered + APPLY_TIME * 2 {
+        fleet.step();
+        if fleet.elapsed() >= recovered {
+            oldest = oldest.max(fleet.oldest(false));
+        }
+    }
+    println!("{size} {fault:?}, {outage_ms} ms: {oldest:?}, {} calls", fleet.calls.len());
+    assert!(oldest < APPLY_TIME, "the oldest confirmation is {oldest:?} old");
+}
+
 // Guards against calls to the source that grow with the fleet while nothing fails.
 #[test_case::test_case(3)]
 #[test_case::test_case(27)]
