End queued uploads whose callers have left

Cause: nothing reads a request's body before it has a slot. Once hyper has read a part that nobody asks for, it stops reading, and so does not see the end of the connection. The stream of a connection is now shared with a task that waits for its end while a request with a body has no response (EPOLLRDHUP, reported also with unread data); the request then ends, as one without a body does.

Test, before: the upload of 30 kB went on waiting, the requests without a body and with 2 bytes ended. After: 4 of 4 cases pass.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod replay;
 pub mod result_recorder;
 pub mod server;
+pub mod shared_stream;
 pub mod sidecar;
 pub mod sidecar_server;
 pub mod small_frames;
--- a/crates/transport/src/pipeline/read_ahead.rs
+++ b/crates/transport/src/pipeline/read_ahead.rs
@@ -12,10 +12,10 @@
 use hyper_util::rt as tokio_rt;
 use tokio::io::AsyncRead;
 use tokio::io::ReadBuf;
-use tokio::net as tcp;
 
 use crate::pipeline::scanner;
 use crate::pipeline::started;
+use crate::shared_stream;
 
 /// Stream that hands requests to the HTTP implementation one at a time and passes the heads of those
 /// behind them to `start`, which returns `false` if a request must wait for its turn.
@@ -23,7 +23,7 @@
 /// While a response is outstanding, the HTTP implementation polls for the end of the stream, and each
 /// poll reads ahead.
 pub struct ReadAhead<R, F> {
-    stream: tokio_rt::TokioIo<tcp::TcpStream>,
+    stream: tokio_rt::TokioIo<shared_stream::SharedStream>,
     started: sync::Arc<started::Started<R>>,
     start: F,
     /// Bytes that were read and not handed over.
@@ -49,7 +49,7 @@
 impl<R, F: FnMut(request::Parts) -> bool> ReadAhead<R, F> {
     /// Wraps a stream. Heads of more than `head_size_max` bytes end the reading ahead.
     pub fn new(
-        stream: tcp::TcpStream,
+        stream: shared_stream::SharedStream,
         head_size_max: usize,
         started: sync::Arc<started::Started<R>>,
         start: F,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -23,6 +23,7 @@
 use crate::guarded_body;
 use crate::peers;
 use crate::pipeline;
+use crate::shared_stream;
 use crate::socket;
 
 /// Limits for request heads.
@@ -216,10 +217,13 @@
         early_started.push(expected, AbortOnDropHandle::new(response));
         true
     };
+    let stream = shared_stream::SharedStream::new(stream);
+    let caller_end = stream.end();
     let stream = pipeline::ReadAhead::new(stream, limits.head_size, started.clone(), start);
     let service_started = started.clone();
     let serve = service::service_fn(move |request: http::Request<Incoming>| {
         let (handler, started) = (handler.clone(), service_started.clone());
+        let caller_end = caller_end.clone();
         let (head, body) = request.into_parts();
         let early = started.take(&head);
         async move {
@@ -229,12 +233,22 @@
             };
             let (response, permit) = match early {
                 Some((response, permit)) => (response, Some(permit)),
-                None => (handler.handle(http::Request::from_parts(head, body), peer).await, None),
+                None => {
+                    // The HTTP implementation does not read the connection while a body is left
+                    // unread, and would not notice that the caller has left.
+                    let may_be_unread = !body.is_end_stream();
+                    let request = http::Request::from_parts(head, body);
+                    let response = tokio::select! {
+                        response = handler.handle(request, peer) => response,
+                        () = caller_end.reached(), if may_be_unread => {
+                            return Err(body_error::BodyError::Cancelled);
+                        }
+                    };
+                    (response, None)
+                }
             };
             let guard = (started.finish_guard(), permit);
-            Ok::<_, convert::Infallible>(
-                response.map(|body| guarded_body::GuardedBody::new(body, guard)),
-            )
+            Ok(response.map(|body| guarded_body::GuardedBody::new(body, guard)))
         }
     });
     let builder = builder(limits);
