Split bodies of requests and responses, so that no files of transport form a circle

`body` held the body of requests, which the pool needs at the bottom, and that of responses, which needs the ingress at the top; so ten files imported one another. They are `request_body` and `response_body` now, and the guard of an outstanding request is a module of its own beside `ingress`. What is left are submodules that implement a part of the type of their parent.

--- a/crates/transport/src/error_response.rs
+++ b/crates/transport/src/error_response.rs
@@ -11,7 +11,7 @@
 use lynxmast_state::outcome;
 use rand::Rng;
 
-use crate::body;
+use crate::response_body;
 
 /// Relative jitter of `Retry-After`, so that callers do not all retry at the same time.
 const RETRY_AFTER_JITTER: f64 = 0.3;
@@ -25,7 +25,7 @@
     outcome: outcome::Outcome,
     room: Option<time::Duration>,
     scheme: &header_scheme::HeaderScheme,
-) -> http::Response<body::ResponseBody<C>> {
+) -> http::Response<response_body::ResponseBody<C>> {
     let (status, retry_after) = match outcome {
         outcome::Outcome::Answered => (200, None),
         outcome::Outcome::NotRun(rejection) => {
@@ -34,7 +34,7 @@
         outcome::Outcome::MayHaveRun(failure) => (failure.status(), None),
     };
     let text = Bytes::from(format!("{outcome}\n"));
-    let mut response = http::Response::new(body::ResponseBody::Full(text));
+    let mut response = http::Response::new(response_body::ResponseBody::Full(text));
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -7,7 +7,6 @@
 mod head;
 mod hedge;
 mod hold;
-mod outstanding;
 mod quarantine;
 mod retries;
 mod spillover;
@@ -37,17 +36,16 @@
 use lynxmast_state::shared_state;
 use rand::Rng;
 
-use crate::body;
 use crate::error_response;
 use crate::hop;
 use crate::incoming_body;
+use crate::outstanding_request;
 use crate::peers;
 use crate::replay;
+use crate::response_body;
 use crate::server;
 use crate::sidecar;
 
-pub use outstanding::OutstandingRequest;
-
 /// Ingress of one daemon.
 #[derive(Debug)]
 pub struct Ingress<C: clock::Clock> {
@@ -205,7 +203,7 @@
     pub async fn serve_caller(
         &self,
         request: http::Request<incoming_body::IncomingBody>,
-    ) -> http::Response<body::ResponseBody<C>> {
+    ) -> http::Response<response_body::ResponseBody<C>> {
         let scheme = &self.identity.header_scheme;
         let id = request.headers().get(&scheme.exchange_id).cloned();
         let arrived = self.shared.now();
@@ -420,7 +418,7 @@
         &self,
         context: &RequestContext,
         progress: &mut progress::Progress,
-    ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
+    ) -> Result<http::Response<response_body::ResponseBody<C>>, retry::AttemptEnd> {
         let service = &context.route_match.service;
         self.deposit_retry_budget(service);
         let mut server_error = None;
@@ -434,8 +432,8 @@
         &self,
         context: &RequestContext,
         progress: &mut progress::Progress,
-        server_error: &mut Option<http::Response<body::ResponseBody<C>>>,
-    ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
+        server_error: &mut Option<http::Response<response_body::ResponseBody<C>>>,
+    ) -> Result<http::Response<response_body::ResponseBody<C>>, retry::AttemptEnd> {
         let service = &context.route_match.service;
         self.check_quarantine(context).await?;
         loop {
@@ -493,9 +491,9 @@
     async fn attempt_with_hedge(
         &self,
         context: &RequestContext,
-        first: OutstandingRequest<C>,
+        first: outstanding_request::OutstandingRequest<C>,
         progress: &mut progress::Progress,
-    ) -> Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd> {
+    ) -> Result<http::Response<response_body::ResponseBody<C>>, retry::AttemptEnd> {
         let risk = context.risk_tolerance(progress, self.may_probe(context));
         let may_retry = context.has_attempt_after_next(progress) && context.body.is_replayable();
         let (is_retry, not_run) = (progress.attempts > 0, progress.may_have_run.is_none());
@@ -523,7 +521,7 @@
         &self,
         context: &RequestContext,
         progress: &mut progress::Progress,
-    ) -> Result<OutstandingRequest<C>, outcome::Rejection> {
+    ) -> Result<outstanding_request::OutstandingRequest<C>, outcome::Rejection> {
         if !progress.may_contact() {
             return Err(outcome::Rejection::NoUpstream);
         }
@@ -559,7 +557,7 @@
         drop(router);
         let candidate = picked.ok_or(outcome::Rejection::NoUpstream)?;
         progress.record_contact(candidate.id.address);
-        Ok(OutstandingRequest::new(self.shared.clone(), candidate))
+        Ok(outstanding_request::OutstandingRequest::new(self.shared.clone(), candidate))
     }
 }
 
@@ -569,7 +567,7 @@
 }
 
 impl<C: clock::Clock> server::Handler for Ingress<C> {
-    type Body = body::ResponseBody<C>;
+    type Body = response_body::ResponseBody<C>;
 
     /// Uses the longer of the head timeout and the idle timeout of the policy, because the time to
     /// receive a head counts from the end of the previous request on the connection.
--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -12,14 +12,16 @@
 use lynxmast_state::retry;
 use lynxmast_state::router;
 
-use crate::body;
 use crate::cutoff;
 use crate::hop;
 use crate::ingress;
+use crate::outstanding_request;
 use crate::peers;
+use crate::request_body;
+use crate::response_body;
 use crate::stall_timeout;
 
-type ResponseResult<C> = Result<http::Response<body::ResponseBody<C>>, retry::AttemptEnd>;
+type ResponseResult<C> = Result<http::Response<response_body::ResponseBody<C>>, retry::AttemptEnd>;
 
 /// Time after the deadline for which the ingress still waits for the sidecar's report.
 const REPORT_GRACE: time::Duration = time::Duration::from_millis(20);
@@ -29,7 +31,7 @@
     pub(super) async fn try_upstream(
         &self,
         context: &ingress::RequestContext,
-        mut outstanding: ingress::OutstandingRequest<C>,
+        mut outstanding: outstanding_request::OutstandingRequest<C>,
         options: ingress::AttemptOptions,
     ) -> ResponseResult<C> {
         let started = self.shared.now();
@@ -77,9 +79,9 @@
         &self,
         context: &ingress::RequestContext,
         envelope: &envelope::Envelope,
-        outstanding: &mut ingress::OutstandingRequest<C>,
+        outstanding: &mut outstanding_request::OutstandingRequest<C>,
     ) -> Result<http::Response<UntrackedBody<C>>, retry::AttemptEnd> {
-        let request = build_request(context).map(body::RequestBody::Local);
+        let request = build_request(context).map(request_body::RequestBody::Local);
         let attempt = self.sidecar.serve(envelope, request).await;
         let is_error = attempt.result.as_ref().is_ok_and(|r| r.status().is_server_error());
         self.record_report(&attempt.report, is_error, outstanding);
@@ -94,7 +96,7 @@
         context: &ingress::RequestContext,
         envelope: &envelope::Envelope,
         options: ingress::AttemptOptions,
-        outstanding: &mut ingress::OutstandingRequest<C>,
+        outstanding: &mut outstanding_request::OutstandingRequest<C>,
     ) -> Result<http::Response<UntrackedBody<C>>, retry::AttemptEnd> {
         let mut request = build_request(context);
         envelope.write(request.headers_mut());
@@ -141,7 +143,7 @@
         &self,
         report: &envelope::AttemptReport,
         is_error: bool,
-        outstanding: &mut ingress::OutstandingRequest<C>,
+        outstanding: &mut outstanding_request::OutstandingRequest<C>,
     ) {
         let now = self.shared.now();
         let id = &outstanding.candidate.id;
@@ -215,7 +217,7 @@
     response
 }
 
-/// Response body before its [`ingress::OutstandingRequest`] is attached.
+/// Response body before its [`outstanding_request::OutstandingRequest`] is attached.
 enum UntrackedBody<C: clock::Clock> {
     Local(crate::exchange::SidecarBody<C>),
     Remote(stall_timeout::StallTimeoutBody),
@@ -243,9 +245,9 @@
 /// unknown length ends at the `deadline`, as it may have no end of its own.
 fn track<C: clock::Clock>(
     response: http::Response<UntrackedBody<C>>,
-    outstanding: ingress::OutstandingRequest<C>,
+    outstanding: outstanding_request::OutstandingRequest<C>,
     deadline: time::Instant,
-) -> http::Response<body::ResponseBody<C>> {
+) -> http::Response<response_body::ResponseBody<C>> {
     let cutoff = |size: hyper_body::SizeHint| match size.exact() {
         Some(_) => cutoff::Cutoff::default(),
         None => cutoff::Cutoff::at(deadline),
@@ -253,11 +255,11 @@
     response.map(|untracked| match untracked {
         UntrackedBody::Local(body) => {
             let cutoff = cutoff(body.size_hint());
-            body::ResponseBody::Local(body, outstanding, cutoff)
+            response_body::ResponseBody::Local(body, outstanding, cutoff)
         }
         UntrackedBody::Remote(body) => {
             let cutoff = cutoff(body.size_hint());
-            body::ResponseBody::Remote(body, outstanding, cutoff)
+            response_body::ResponseBody::Remote(body, outstanding, cutoff)
         }
     })
 }
--- a/crates/transport/src/ingress/hold.rs
+++ b/crates/transport/src/ingress/hold.rs
@@ -12,14 +12,14 @@
 use lynxmast_state::outcome;
 use lynxmast_state::response_hold;
 
-use crate::body;
 use crate::body_error;
 use crate::held_body;
 use crate::ingress;
 use crate::read_ahead_body;
+use crate::response_body;
 use crate::stall_timeout;
 
-type Response<C> = http::Response<body::ResponseBody<C>>;
+type Response<C> = http::Response<response_body::ResponseBody<C>>;
 
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Holds a response of known length as far as the byte budget and the time of the request allow.
@@ -36,7 +36,7 @@
         may_retry: bool,
     ) -> Result<Response<C>, outcome::Failure> {
         if response.body().is_end_stream() {
-            return Ok(response.map(|_| body::ResponseBody::Empty));
+            return Ok(response.map(|_| response_body::ResponseBody::Empty));
         }
         let has_trailers = response.headers().contains_key(header::TRAILER);
         let size = response.body().size_hint().exact().filter(|_| !has_trailers);
@@ -76,11 +76,11 @@
         let body = match end {
             Ok(ReadEnd::Complete) => {
                 count("whole");
-                body::ResponseBody::Held(held)
+                response_body::ResponseBody::Held(held)
             }
             Ok(ReadEnd::OutOfTime) => {
                 count("out-of-time");
-                body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
+                response_body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
             }
             Err(error) => {
                 count("broken");
@@ -93,16 +93,16 @@
 
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Reads a body that is streamed ahead of its caller.
-    fn read_ahead(&self, body: body::ResponseBody<C>) -> body::ResponseBody<C> {
+    fn read_ahead(&self, body: response_body::ResponseBody<C>) -> response_body::ResponseBody<C> {
         let held = self.shared.held_bytes.empty(byte_budget::Kind::ReadAhead);
-        body::ResponseBody::ReadAhead(read_ahead_body::ReadAheadBody::new(body, held))
+        response_body::ResponseBody::ReadAhead(read_ahead_body::ReadAheadBody::new(body, held))
     }
 }
 
 /// A body that is read into memory.
 struct Reading<C: clock::Clock> {
     buffer: Vec<u8>,
-    body: body::ResponseBody<C>,
+    body: response_body::ResponseBody<C>,
 }
 
 /// Why reading a body ended without an error.
--- a/crates/transport/src/ingress/quarantine.rs
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -9,6 +9,7 @@
 use lynxmast_state::retry;
 
 use crate::ingress;
+use crate::outstanding_request;
 
 /// Longest wait before a request is sent again under which an upstream has crashed: within it, most
 /// daemons learn of the crashes that others have found.
@@ -68,7 +69,7 @@
         &self,
         context: &ingress::RequestContext,
         report: &envelope::AttemptReport,
-        outstanding: &ingress::OutstandingRequest<C>,
+        outstanding: &outstanding_request::OutstandingRequest<C>,
     ) {
         let Some(incarnation) = report.crashed else { return };
         // The upstream may have crashed before it read the body.
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -10,6 +10,7 @@
 
 use crate::ingress;
 use crate::ingress::attempt;
+use crate::outstanding_request;
 
 /// Mean number of retries left at the upstreams of a service from which a request may probe a
 /// suspected one: the retry that it is likely to need is then granted by the first sidecar asked.
@@ -115,7 +116,7 @@
         &self,
         context: &ingress::RequestContext,
         progress: &mut progress::Progress,
-    ) -> Option<ingress::OutstandingRequest<C>> {
+    ) -> Option<outstanding_request::OutstandingRequest<C>> {
         let is_suspected = self.shared.quarantine().is_suspected_head(context.head_hash);
         let allowed = !is_suspected
             && context.body.is_complete()
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,7 +4,6 @@
 //! `lynxmast-state`. It neither reads the policy log nor takes part in membership gossip.
 
 pub mod announcement_server;
-pub mod body;
 pub mod body_error;
 pub mod body_gate;
 pub mod client;
@@ -17,12 +16,15 @@
 pub mod hop;
 pub mod incoming_body;
 pub mod ingress;
+pub mod outstanding_request;
 pub mod peers;
 pub mod pipeline;
 pub mod pool;
 pub mod quota_signals;
 pub mod read_ahead_body;
 pub mod replay;
+pub mod request_body;
+pub mod response_body;
 pub mod result_recorder;
 pub mod server;
 pub mod shared_stream;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -15,7 +15,7 @@
 use lynxmast_state::clock;
 use lynxmast_state::outcome;
 
-use crate::body;
+use crate::request_body;
 use crate::socket;
 
 /// Connection pool of one upstream.
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sender; takes one request at a time.
-    pub sender: http1::SendRequest<body::RequestBody>,
+    pub sender: http1::SendRequest<request_body::RequestBody>,
     /// Exchanges completed on the connection.
     pub exchanges: u32,
     /// Whether the connection has been idle in the pool, and may have become unresponsive there.
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/response_body.rs
@@ -1,4 +1,4 @@
-//! Bodies of requests to backend servers and of responses to callers.
+//! Bodies of responses to callers.
 
 use std::pin;
 use std::task;
@@ -13,22 +13,10 @@
 use crate::cutoff;
 use crate::exchange;
 use crate::held_body;
-use crate::ingress;
+use crate::outstanding_request;
 use crate::read_ahead_body;
-use crate::replay;
 use crate::stall_timeout;
 
-/// Body of a request to a backend server.
-#[derive(Debug)]
-pub enum RequestBody {
-    /// No body.
-    Empty,
-    /// From a caller of this daemon.
-    Local(replay::AttemptBody),
-    /// From another daemon's ingress.
-    Remote(stall_timeout::StallTimeoutBody),
-}
-
 /// Body of a response to a caller.
 #[derive(Debug)]
 pub enum ResponseBody<C: clock::Clock> {
@@ -43,41 +31,13 @@
     /// A response that is read ahead of its caller.
     ReadAhead(read_ahead_body::ReadAheadBody),
     /// From the local sidecar.
-    Local(exchange::SidecarBody<C>, ingress::OutstandingRequest<C>, cutoff::Cutoff),
+    Local(exchange::SidecarBody<C>, outstanding_request::OutstandingRequest<C>, cutoff::Cutoff),
     /// From another daemon's sidecar.
-    Remote(stall_timeout::StallTimeoutBody, ingress::OutstandingRequest<C>, cutoff::Cutoff),
-}
-
-impl Body for RequestBody {
-    type Data = Bytes;
-    type Error = body_error::BodyError;
-
-    fn poll_frame(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> body_error::PolledFrame {
-        match &mut *self {
-            RequestBody::Empty => task::Poll::Ready(None),
-            RequestBody::Local(body) => pin::Pin::new(body).poll_frame(cx),
-            RequestBody::Remote(body) => pin::Pin::new(body).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            RequestBody::Empty => true,
-            RequestBody::Local(body) => body.is_end_stream(),
-            RequestBody::Remote(body) => body.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> body::SizeHint {
-        match self {
-            RequestBody::Empty => body::SizeHint::with_exact(0),
-            RequestBody::Local(body) => body.size_hint(),
-            RequestBody::Remote(body) => body.size_hint(),
-        }
-    }
+    Remote(
+        stall_timeout::StallTimeoutBody,
+        outstanding_request::OutstandingRequest<C>,
+        cutoff::Cutoff,
+    ),
 }
 
 /// Polls a response body, unless its time is over.
@@ -96,7 +56,7 @@
 /// failure of its upstream.
 fn report_progress<C: clock::Clock>(
     polled: body_error::PolledFrame,
-    outstanding: &mut ingress::OutstandingRequest<C>,
+    outstanding: &mut outstanding_request::OutstandingRequest<C>,
 ) -> body_error::PolledFrame {
     use body_error::BodyError::{Endless, Stalled, Truncated};
     if matches!(polled, task::Poll::Ready(Some(Err(Stalled | Truncated | Endless)))) {
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -34,12 +34,12 @@
 use lynxmast_state::shared_state;
 use lynxmast_state::upstream_budget;
 
-use crate::body;
 use crate::departure_tracker;
 use crate::exchange;
 use crate::hop;
 use crate::pool;
 use crate::quota_signals;
+use crate::request_body;
 use crate::result_recorder;
 use crate::upstream;
 
@@ -165,7 +165,7 @@
     pub async fn serve(
         &self,
         envelope: &envelope::Envelope,
-        request: http::Request<body::RequestBody>,
+        request: http::Request<request_body::RequestBody>,
     ) -> AttemptResponse<C> {
         let now = self.shared.now();
         let upstream = self.find_upstream(&envelope.upstream);
@@ -207,7 +207,7 @@
         &self,
         envelope: &envelope::Envelope,
         upstream: &sync::Arc<upstream::Upstream<C>>,
-        request: http::Request<body::RequestBody>,
+        request: http::Request<request_body::RequestBody>,
         observed: &mut Observation,
     ) -> Result<http::Response<exchange::SidecarBody<C>>, retry::AttemptEnd> {
         let now = self.shared.now();
@@ -303,7 +303,7 @@
         envelope: &envelope::Envelope,
         slot: &upstream::Slot<C>,
         connection: pool::Connection,
-        request: http::Request<body::RequestBody>,
+        request: http::Request<request_body::RequestBody>,
         deadline: time::Instant,
     ) -> Result<forwarding::ResponseHead, retry::AttemptEnd> {
         let was_idle = connection.was_idle;
@@ -543,7 +543,7 @@
     async fn resend(
         &self,
         slot: &upstream::Slot<C>,
-        request: http::Request<body::RequestBody>,
+        request: http::Request<request_body::RequestBody>,
         deadline: time::Instant,
     ) -> Result<forwarding::ResponseHead, retry::AttemptEnd> {
         let upstream = slot.upstream();
--- a/crates/transport/src/sidecar/bodies.rs
+++ b/crates/transport/src/sidecar/bodies.rs
@@ -8,8 +8,8 @@
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
 
-use crate::body;
 use crate::body_gate;
+use crate::request_body;
 use crate::sidecar;
 use crate::upstream;
 
@@ -21,7 +21,7 @@
         &self,
         envelope: &envelope::Envelope,
         upstream: &upstream::Upstream<C>,
-        body: &body::RequestBody,
+        body: &request_body::RequestBody,
         deadline: time::Instant,
     ) -> Result<Option<body_gate::BodyPermit>, retry::AttemptEnd> {
         if body.is_end_stream() {
--- a/crates/transport/src/sidecar/forwarding.rs
+++ b/crates/transport/src/sidecar/forwarding.rs
@@ -10,9 +10,9 @@
 use lynxmast_state::outcome;
 use lynxmast_state::retry;
 
-use crate::body;
 use crate::hop;
 use crate::pool;
+use crate::request_body;
 use crate::upstream;
 
 /// Maximum number of connections tried for a request that could not be sent on any of them.
@@ -36,10 +36,10 @@
 
 /// Removes internal and hop-by-hop headers and adds those meant for the backend server.
 pub fn prepare_request(
-    mut request: http::Request<body::RequestBody>,
+    mut request: http::Request<request_body::RequestBody>,
     time_left: time::Duration,
     forwarded: &ForwardHeaders<'_>,
-) -> http::Request<body::RequestBody> {
+) -> http::Request<request_body::RequestBody> {
     let headers = request.headers_mut();
     hop::strip_internal_headers(headers);
     hop::strip_hop_by_hop_headers(headers);
@@ -65,8 +65,10 @@
 }
 
 /// Copies a request without its body.
-pub fn copy_head(request: &http::Request<body::RequestBody>) -> http::Request<body::RequestBody> {
-    let mut copy = http::Request::new(body::RequestBody::Empty);
+pub fn copy_head(
+    request: &http::Request<request_body::RequestBody>,
+) -> http::Request<request_body::RequestBody> {
+    let mut copy = http::Request::new(request_body::RequestBody::Empty);
     *copy.method_mut() = request.method().clone();
     *copy.uri_mut() = request.uri().clone();
     *copy.version_mut() = request.version();
@@ -84,7 +86,7 @@
 pub async fn forward<C: clock::Clock>(
     slot: &upstream::Slot<C>,
     mut connection: pool::Connection,
-    request: http::Request<body::RequestBody>,
+    request: http::Request<request_body::RequestBody>,
 ) -> Result<ResponseHead, retry::AttemptEnd> {
     let mut request = request;
     for _ in 0..CONNECTIONS_TRIED_MAX {
--- a/crates/transport/src/sidecar_server.rs
+++ b/crates/transport/src/sidecar_server.rs
@@ -12,9 +12,9 @@
 use lynxmast_state::retry;
 use lynxmast_state::shared_state;
 
-use crate::body as bodies;
 use crate::body_error;
 use crate::exchange;
+use crate::request_body;
 use crate::server;
 use crate::sidecar;
 use crate::small_frames;
@@ -65,7 +65,7 @@
         let stall = service.map_or(envelope.time_left, |service| service.stall);
         let request = request.map(|incoming| {
             let timer = stall_timeout::StallTimer::new(stall);
-            bodies::RequestBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, timer))
+            request_body::RequestBody::Remote(stall_timeout::StallTimeoutBody::new(incoming, timer))
         });
         let attempt = self.sidecar.serve(&envelope, request).await;
         let mut response = match attempt.result {
