Check that files of a crate do not import one another in a circle

`imports` reads the paths that each file names, resolves them to files and fails with those that are left in a circle.

Moved for it, without a change: the policy of the fleet under test from `fleet` of soak to `policy`, and the requests that crash backend servers from `crashing_backend` of testing to `crashing_requests`.

Tests imports and crashing_requests pass; clippy is clean for both crates.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -9,10 +9,8 @@
 
 use indexmap::IndexMap;
 use lynxmast_protocol::log as api;
-use lynxmast_state::policy::organisation;
-use lynxmast_state::quota;
 use lynxmast_testing::backend;
-use lynxmast_testing::crashing_backend;
+use lynxmast_testing::crashing_requests;
 use lynxmast_testing::fake_log;
 use lynxmast_testing::fault_proxy;
 use lynxmast_testing::fleet as testing_fleet;
@@ -20,6 +18,7 @@
 use crate::Plan;
 use crate::invariants;
 use crate::load;
+use crate::policy;
 use crate::process;
 use crate::schedule;
 
@@ -48,29 +47,9 @@
     is_limited: bool,
 }
 
-/// Host of all soak requests.
-pub const HOST: &str = "soak.example";
-/// Path of the idempotent route.
-pub const IDEMPOTENT_PATH: &str = "/read";
-/// Path of the route whose requests must not run twice.
-pub const NON_IDEMPOTENT_PATH: &str = "/buy";
-/// Path of the idempotent route whose requests crash the backend server that runs them.
-pub const CRASHING_PATH: &str = "/crash";
-/// Path of the idempotent route of the organisation with a quota.
-pub const QUOTA_PATH: &str = "/quota";
-/// Key of the organisation with a quota.
-pub const QUOTA_KEY: &str = "key-of-the-limited-organisation";
-/// Quota of the organisation.
-pub const QUOTA: quota::Limit = quota::Limit { rate: 10.0, burst: 10.0 };
-/// Path of the route whose requests need a key.
-pub const KEYED_PATH: &str = "/keyed";
-/// Deadline of all routes.
-pub const DEADLINE: time::Duration = time::Duration::from_secs(2);
-
 /// Time that a backend server takes for a request: long enough that some requests are running when
 /// a fault begins.
 const SERVICE_TIME: time::Duration = time::Duration::from_millis(40);
-const SERVICE: &str = "shop";
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const START_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -89,34 +68,6 @@
 const PROXY_DELAY: time::Duration = time::Duration::from_millis(80);
 static FLEETS_STARTED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 
-/// Returns the key that is valid from an edit on until the next one.
-pub fn key(edit: u64) -> String {
-    format!("soak-key-{edit}")
-}
-
-/// Returns the policy section of an edit. Edits differ in the key of the organisation and in the
-/// queue limit, which the soak's load does not reach.
-fn section(edit: u64) -> String {
-    format!(
-        "team = 'soak'\n[[service]]\nname = '{SERVICE}'\nramp = '0s'\nqueue = {}\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{CRASHING_PATH}'\nidempotent = true\npublic = true\n\
-         deadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{IDEMPOTENT_PATH}'\nidempotent = true\npublic = true\n\
-         deadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{NON_IDEMPOTENT_PATH}'\npublic = true\ndeadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{KEYED_PATH}'\npublic = false\ndeadline = '2s'\n\
-         [[route]]\nservice = '{SERVICE}'\nhost = '{HOST}'\npath = '{QUOTA_PATH}'\nidempotent = true\n\
-         deadline = '2s'\n\
-         [[organisation]]\nname = 'soak'\nkey-hash = '{}'\n\
-         [[organisation]]\nname = 'limited'\nkey-hash = '{}'\nrate = {:?}\nburst = {:?}\n",
-        100 + edit % 100,
-        organisation::hash_key(&key(edit)),
-        organisation::hash_key(QUOTA_KEY),
-        QUOTA.rate,
-        QUOTA.burst
-    )
-}
-
 impl Fleet {
     /// Starts the log service, the daemons and a local backend server of each daemon, and waits
     /// until every ingress serves.
@@ -126,7 +77,7 @@
     /// Returns an error if a daemon does not start or the fleet does not serve within 20 s.
     pub async fn start(plan: &Plan) -> Result<Self, String> {
         let log = fake_log::FakeLog::start(0).await;
-        testing_fleet::publish(&log, &section(0), 0).await;
+        testing_fleet::publish(&log, &policy::section(0), 0).await;
         let mut nodes: Vec<Node> = Vec::new();
         let mut reserved = Default::default();
         let fleet_id = FLEETS_STARTED.fetch_add(1, atomic::Ordering::Relaxed);
@@ -321,7 +272,7 @@
         let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let healthy = self.healthy.clone();
         let replacement =
-            backend::Backend::start_at(SERVICE, healthy, any_port, node.incarnation).await;
+            backend::Backend::start_at(policy::SERVICE, healthy, any_port, node.incarnation).await;
         replacement.keep_announcing(node.process.ports.local);
         self.crashed.push(std::mem::replace(&mut node.backend, replacement));
     }
@@ -334,7 +285,7 @@
     /// Publishes the next edit, based on version `base`, and returns its number.
     async fn publish_edit_on(&self, base: u64) -> u64 {
         let edit = self.edits.fetch_add(1, atomic::Ordering::AcqRel) + 1;
-        testing_fleet::try_publish(&self.log, &section(edit), base).await;
+        testing_fleet::try_publish(&self.log, &policy::section(edit), base).await;
         edit
     }
 
@@ -390,7 +341,7 @@
         let mut all = IndexMap::new();
         let backends = self.nodes.iter().map(|node| &node.backend).chain(&self.crashed);
         for backend in backends {
-            for path in [IDEMPOTENT_PATH, NON_IDEMPOTENT_PATH, KEYED_PATH] {
+            for path in [policy::IDEMPOTENT_PATH, policy::NON_IDEMPOTENT_PATH, policy::KEYED_PATH] {
                 for (tag, runs) in backend.runs_by_tag(path) {
                     *all.entry(tag).or_default() += runs;
                 }
@@ -442,7 +393,7 @@
         let log_file = plan.logs.as_ref().map(|dir| dir.join(format!("{}-{index}.log", plan.seed)));
         let process =
             process::Process::start(&plan.daemon, settings_file, &settings, ports, log_file)?;
-        let backend = backend::Backend::start(SERVICE, healthy_behaviour(plan.seed)).await;
+        let backend = backend::Backend::start(policy::SERVICE, healthy_behaviour(plan.seed)).await;
         Ok(Self {
             process,
             backend,
@@ -461,9 +412,9 @@
 /// Returns the behaviour of a backend server without faults. The crashing request crashes every run
 /// for an even seed, half of the runs for an odd one.
 fn healthy_behaviour(seed: u64) -> backend::Behaviour {
-    let trigger = crashing_backend::Trigger::Path(CRASHING_PATH);
+    let trigger = crashing_requests::Trigger::Path(policy::CRASHING_PATH);
     let crash_rate = if seed.is_multiple_of(2) { 1.0 } else { 0.5 };
-    let crash_on = Some(crashing_backend::CrashingRequests::new(trigger, crash_rate));
+    let crash_on = Some(crashing_requests::CrashingRequests::new(trigger, crash_rate));
     backend::Behaviour { service_time: SERVICE_TIME, crash_on, ..backend::Behaviour::default() }
 }
 
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -11,8 +11,8 @@
 use lynxmast_state::quota::bounds;
 use lynxmast_transport::client;
 
-use crate::fleet;
 use crate::load;
+use crate::policy;
 
 /// Longest time that a response may take beyond its deadline: twice the longest suspension of the
 /// ingress (3 s), as two suspensions may follow each other, and 1 s for the load on the machine.
@@ -49,7 +49,7 @@
         if response.reason == "quarantined" {
             report("a request that crashes nothing was quarantined");
         }
-        if response.elapsed > fleet::DEADLINE + LATENESS_MAX {
+        if response.elapsed > policy::DEADLINE + LATENESS_MAX {
             report("a response came too long after the deadline");
         }
     }
@@ -60,7 +60,7 @@
 /// whole time from sending to the response is in the window ran in it.
 pub fn check_quota(runs: &[load::Run]) -> Vec<String> {
     let bounds = bounds::Bounds::default();
-    let allowed = bounds.runs_max(&fleet::QUOTA);
+    let allowed = bounds.runs_max(&policy::QUOTA);
     let within = |start: time::Instant| {
         let end = start + bounds.window;
         runs.iter().filter(|run| run.sent >= start && run.completed <= end).count()
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod invariants;
 pub mod load;
+pub mod policy;
 pub mod process;
 pub mod schedule;
 
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::task;
 
-use crate::fleet;
+use crate::policy;
 
 /// Running callers, each of which records a `T` for each request.
 #[derive(Debug)]
@@ -120,8 +120,8 @@
     stop: sync::Arc<sync::atomic::AtomicBool>,
 ) -> Vec<Run> {
     let caller = caller::Caller::new(ingress);
-    let (host, path) = (fleet::HOST, fleet::QUOTA_PATH);
-    let key = Some(fleet::QUOTA_KEY.to_owned());
+    let (host, path) = (policy::HOST, policy::QUOTA_PATH);
+    let key = Some(policy::QUOTA_KEY.to_owned());
     let request = caller::Request { host, path, key, ..caller::Request::default() };
     let mut runs = Vec::new();
     while !stop.load(sync::atomic::Ordering::Acquire) {
@@ -154,7 +154,7 @@
 }
 
 fn keyed_request(edit: u64) -> caller::Request {
-    let (host, path, key) = (fleet::HOST, fleet::KEYED_PATH, Some(fleet::key(edit)));
+    let (host, path, key) = (policy::HOST, policy::KEYED_PATH, Some(policy::key(edit)));
     caller::Request { method: "POST", host, path, key, ..caller::Request::default() }
 }
 
@@ -185,11 +185,11 @@
 
 fn request(non_idempotent: bool) -> caller::Request {
     let (method, path) = if non_idempotent {
-        ("POST", fleet::NON_IDEMPOTENT_PATH)
+        ("POST", policy::NON_IDEMPOTENT_PATH)
     } else {
-        ("GET", fleet::IDEMPOTENT_PATH)
+        ("GET", policy::IDEMPOTENT_PATH)
     };
-    caller::Request { method, host: fleet::HOST, path, ..caller::Request::default() }
+    caller::Request { method, host: policy::HOST, path, ..caller::Request::default() }
 }
 
 /// Sends copies of a request that crashes backend servers, at random ingresses, until the task is
@@ -207,7 +207,7 @@
 
 /// Sends one copy of a request that crashes the backend server that runs it.
 pub async fn send_crashing_request(ingress: net::SocketAddr) -> caller::Response {
-    let (host, path) = (fleet::HOST, fleet::CRASHING_PATH);
+    let (host, path) = (policy::HOST, policy::CRASHING_PATH);
     let request = caller::Request { host, path, ..caller::Request::default() };
     caller::Caller::new(ingress).send(&request).await
 }
--- a/crates/testing/src/backend.rs
+++ b/crates/testing/src/backend.rs
@@ -24,7 +24,7 @@
 use tokio::net as tcp;
 use tokio::task as tasks;
 
-use crate::crashing_backend;
+use crate::crashing_requests;
 
 /// Fake backend server, running until it is dropped.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
     /// Whether responses state that the server is about to leave.
     pub is_leaving: bool,
     /// Requests that crash the server once `service_time` has passed.
-    pub crash_on: Option<crashing_backend::CrashingRequests>,
+    pub crash_on: Option<crashing_requests::CrashingRequests>,
 }
 
 impl Default for Behaviour {
--- a/crates/testing/src/crashing_backend.rs
+++ b/crates/testing/src/crashing_backend.rs
@@ -4,10 +4,10 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use tokio::task as tasks;
 
 use crate::backend;
+use crate::crashing_requests;
 
 /// Backend server with a supervisor that restarts it; runs until it is dropped.
 #[derive(Debug)]
@@ -15,7 +15,7 @@
     /// Address that each start of the server listens on.
     pub address: net::SocketAddr,
     crashes: Times,
-    arrivals: Times,
+    crashing: crashing_requests::CrashingRequests,
     restart: sync::Arc<tokio::sync::Notify>,
     supervisor: tasks::AbortHandle,
 }
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone)]
 pub struct CrashPlan {
     /// Requests with this path, or with this body, crash the server that runs them.
-    pub trigger: Trigger,
+    pub trigger: crashing_requests::Trigger,
     /// Fraction of the runs of these requests that crash the server; the others get a response.
     pub rate: f64,
     /// Whether the server stops responding without closing its connections or its port.
@@ -35,50 +35,6 @@
 
 type Times = sync::Arc<sync::Mutex<Vec<time::Instant>>>;
 
-/// Requests that crash all starts of a server.
-#[derive(Debug, Clone)]
-pub struct CrashingRequests {
-    trigger: Trigger,
-    rate: f64,
-    arrivals: Times,
-}
-
-impl CrashingRequests {
-    /// Requests that crash the server in a fraction `rate` of their runs.
-    pub fn new(trigger: Trigger, rate: f64) -> Self {
-        Self { trigger, rate, arrivals: Default::default() }
-    }
-
-    /// Records an arrival if the request is one of these. Returns the probability that it crashes
-    /// the server.
-    pub fn record_arrival(&self, path: &str, body: &[u8]) -> f64 {
-        if !self.trigger.matches(path, body) {
-            return 0.0;
-        }
-        lock(&self.arrivals).push(time::Instant::now());
-        self.rate
-    }
-}
-
-/// Requests that crash the server.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Trigger {
-    /// Requests to this path.
-    Path(&'static str),
-    /// Requests with this body.
-    Body(Bytes),
-}
-
-impl Trigger {
-    /// Returns whether a request with this path and body crashes the server.
-    pub fn matches(&self, path: &str, body: &[u8]) -> bool {
-        match self {
-            Trigger::Path(trigger) => path == *trigger,
-            Trigger::Body(trigger) => body == trigger,
-        }
-    }
-}
-
 impl CrashingBackend {
     /// Starts a backend server of `service` and keeps it announced to the daemon at
     /// `announce_address`. Call [`crate::fleet::Fleet::await_upstream`] to wait until it is known.
@@ -88,9 +44,8 @@
         plan: CrashPlan,
         announce_address: net::SocketAddr,
     ) -> Self {
-        let crashing = CrashingRequests::new(plan.trigger.clone(), plan.rate);
-        let arrivals = crashing.arrivals.clone();
-        let behaviour = backend::Behaviour { crash_on: Some(crashing), ..behaviour };
+        let crashing = crashing_requests::CrashingRequests::new(plan.trigger.clone(), plan.rate);
+        let behaviour = backend::Behaviour { crash_on: Some(crashing.clone()), ..behaviour };
         let first = backend::Backend::start(service, behaviour.clone()).await;
         let address = first.address;
         let crashes = Times::default();
@@ -104,7 +59,7 @@
             restart: restart.clone(),
         };
         let supervisor = tokio::spawn(supervisor.run(first)).abort_handle();
-        Self { address, crashes, arrivals, restart, supervisor }
+        Self { address, crashes, crashing, restart, supervisor }
     }
 
     /// Returns the time of each crash that a request has caused.
@@ -114,7 +69,7 @@
 
     /// Returns the time of each arrival of a request that may crash the server.
     pub fn arrivals(&self) -> Vec<time::Instant> {
-        lock(&self.arrivals).clone()
+        self.crashing.arrivals()
     }
 
     /// Crashes the server for a reason that has nothing to do with its requests.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod caller;
 pub mod crashing_backend;
+pub mod crashing_requests;
 pub mod fake_log;
 pub mod fault_proxy;
 pub mod fleet;
--- a/crates/testing/tests/crashing_requests.rs
+++ b/crates/testing/tests/crashing_requests.rs
@@ -9,6 +9,7 @@
 use lynxmast_testing::backend;
 use lynxmast_testing::caller;
 use lynxmast_testing::crashing_backend;
+use lynxmast_testing::crashing_requests;
 use lynxmast_testing::fleet;
 
 const SECTION: &str = "
@@ -50,7 +51,7 @@
 /// Size of the fleet and behaviour of its backend servers.
 struct Scenario {
     daemons: usize,
-    trigger: crashing_backend::Trigger,
+    trigger: crashing_requests::Trigger,
     is_silent: bool,
     /// Fraction of the runs of a crashing request that crash the server.
     crash_rate: f64,
@@ -66,7 +67,7 @@
     fn default() -> Self {
         Self {
             daemons: DAEMONS,
-            trigger: crashing_backend::Trigger::Path("/crash"),
+            trigger: crashing_requests::Trigger::Path("/crash"),
             is_silent: false,
             crash_rate: 1.0,
             failing: 0,
@@ -78,7 +79,7 @@
 }
 
 impl Setup {
-    async fn start(trigger: crashing_backend::Trigger, is_silent: bool) -> Self {
+    async fn start(trigger: crashing_requests::Trigger, is_silent: bool) -> Self {
         Self::start_with(&Scenario { trigger, is_silent, ..Default::default() }).await
     }
 
@@ -170,7 +171,7 @@
 // Guards against a daemon that starts without the knowledge of its peers.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_starts_rejects_what_its_peers_have_quarantined() {
-    let trigger = crashing_backend::Trigger::Path("/crash");
+    let trigger = crashing_requests::Trigger::Path("/crash");
     let mut setup = Setup::start(trigger, false).await;
     let crashing = request("GET", "/crash", b"");
     setup.send_copies(&crashing, time::Duration::from_secs(1)).await;
@@ -211,7 +212,7 @@
 // Guards against rejecting requests that were merely running when upstreams crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_beside_unrelated_crashes_are_not_quarantined() {
-    let setup = Setup::start(crashing_backend::Trigger::Path("/none"), false).await;
+    let setup = Setup::start(crashing_requests::Trigger::Path("/none"), false).await;
     let sent = sync::atomic::AtomicUsize::new(0);
     let send = |sender: usize| {
         let (setup, sent) = (&setup, &sent);
@@ -343,13 +344,13 @@
 }
 
 // Guards against copies of a crashing request that reach one upstream after the other.
-#[test_case::test_case(request("GET", "/crash", b""), crashing_backend::Trigger::Path("/crash"), false; "idempotent")]
-#[test_case::test_case(request("POST", "/book", b"crash"), crashing_backend::Trigger::Body(Bytes::from_static(b"crash")), false; "by its body")]
-#[test_case::test_case(request("GET", "/crash", b""), crashing_backend::Trigger::Path("/crash"), true; "silent crash")]
+#[test_case::test_case(request("GET", "/crash", b""), crashing_requests::Trigger::Path("/crash"), false; "idempotent")]
+#[test_case::test_case(request("POST", "/book", b"crash"), crashing_requests::Trigger::Body(Bytes::from_static(b"crash")), false; "by its body")]
+#[test_case::test_case(request("GET", "/crash", b""), crashing_requests::Trigger::Path("/crash"), true; "silent crash")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_upstreams_is_stopped_in_the_whole_fleet(
     crashing: caller::Request,
-    trigger: crashing_backend::Trigger,
+    trigger: crashing_requests::Trigger,
     is_silent: bool,
 ) {
     let setup = Setup::start(trigger, is_silent).await;
