--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -18,7 +18,7 @@
 use crate::pool;
 use crate::result_recorder;
 use crate::stall_timeout;
-use crate::upstream;
+use crate::upstream::slot;
 
 /// An exchange whose response body is being forwarded.
 #[derive(Debug)]
@@ -28,7 +28,7 @@
     /// Connection that carries the response.
     pub connection: pool::Connection,
     /// Slot held by the request.
-    pub slot: upstream::Slot<C>,
+    pub slot: slot::Slot<C>,
     /// Whether the response contained the exchange id.
     pub returned_id: bool,
 }
--- a/crates/transport/src/result_recorder.rs
+++ b/crates/transport/src/result_recorder.rs
@@ -24,7 +24,7 @@
 impl<C: clock::Clock> ResultRecorder<C> {
     /// Starts recording when a request is forwarded.
     pub fn start(upstream: &sync::Arc<upstream::Upstream<C>>) -> Self {
-        let waiting = Some(upstream.start_request());
+        let waiting = Some(upstream.in_flight.start(upstream.now()));
         Self { upstream: upstream.clone(), waiting, is_failed: false }
     }
 
@@ -41,14 +41,14 @@
     /// Records that the request does not wait for the upstream at present.
     pub fn pause(&mut self) {
         if let Some(number) = self.waiting.take() {
-            self.is_failed |= !self.upstream.end_request(number);
+            self.is_failed |= !self.upstream.in_flight.end(number);
         }
     }
 
     /// Records that the request waits for the upstream, unless it does already.
     pub fn resume(&mut self) {
         if self.waiting.is_none() && !self.is_failed {
-            self.waiting = Some(self.upstream.start_request());
+            self.waiting = Some(self.upstream.in_flight.start(self.upstream.now()));
         }
     }
 
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -42,6 +42,8 @@
 use crate::request_body;
 use crate::result_recorder;
 use crate::upstream;
+use crate::upstream::retry_account;
+use crate::upstream::slot;
 
 /// Sidecar of one daemon.
 #[derive(Debug)]
@@ -176,12 +178,12 @@
         };
         let now = now.max(self.shared.now());
         let failure_percent = upstream.as_ref().map(|upstream| upstream.failure_percent(now));
-        let leaving = upstream.as_ref().and_then(|upstream| upstream.leaving());
+        let leaving = upstream.as_ref().and_then(|upstream| upstream.lease.leaving());
         let room = upstream.as_ref().and_then(|upstream| upstream.room(now));
         let policy = self.shared.policy();
         let has_budget =
             policy.service(&envelope.upstream.service).is_some_and(|s| s.retry_reserve.is_some());
-        let retries_left = upstream.as_ref().filter(|_| has_budget).map(|u| u.retries_left());
+        let retries_left = upstream.as_ref().filter(|_| has_budget).map(|u| u.retries.left());
         let load = upstream.map(|upstream| upstream.load(now));
         let end = result.as_ref().err().copied();
         let policy = policy.version;
@@ -224,7 +226,7 @@
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::DeadlineBeforeRun));
         }
         let exchange_id = self.exchange_id(request.headers());
-        let lease = upstream.lease();
+        let lease = upstream.lease.newest();
         let instance = lease.instance.clone();
         let headers = forwarding::ForwardHeaders {
             scheme: &self.header_scheme,
@@ -244,11 +246,11 @@
         let returned_id = checked.inspect_err(|end| recorder.record_end(*end))?;
         let rejection = forwarding::rejection(&response, &headers);
         if rejection != Some(outcome::Rejection::Misdirected)
-            && upstream.lease().incarnation == lease.incarnation
+            && upstream.lease.newest().incarnation == lease.incarnation
         {
             self.record_notices(upstream, response.headers());
         }
-        upstream.record_response();
+        upstream.liveness.record_response(upstream.now());
         connection.apply_keep_alive(response.headers());
         if let Some(rejection) = rejection {
             recorder.record_end(retry::AttemptEnd::NotRun(rejection));
@@ -257,7 +259,7 @@
                 upstream.record_rejection(&slot, true);
             }
             if rejection == outcome::Rejection::Misdirected {
-                upstream.revoke_lease(instance.as_ref());
+                upstream.lease.revoke(instance.as_ref());
             }
             let exchange = exchange::Exchange {
                 incoming: response.into_body(),
@@ -301,7 +303,7 @@
     async fn await_response(
         &self,
         envelope: &envelope::Envelope,
-        slot: &upstream::Slot<C>,
+        slot: &slot::Slot<C>,
         connection: pool::Connection,
         request: http::Request<request_body::RequestBody>,
         deadline: time::Instant,
@@ -356,7 +358,7 @@
         route: Option<parent_admission::RouteKey>,
         now: time::Instant,
         deadline: time::Instant,
-    ) -> Result<(upstream::Slot<C>, time::Duration), retry::AttemptEnd> {
+    ) -> Result<(slot::Slot<C>, time::Duration), retry::AttemptEnd> {
         self.await_policy(envelope.policy, deadline).await.map_err(retry::AttemptEnd::NotRun)?;
         let policy = self.shared.policy();
         let service = policy.service(&envelope.upstream.service);
@@ -371,7 +373,7 @@
             priority::Priority { rank: envelope.rank, objective, is_call: envelope.is_call };
         let risk = envelope.risk;
         let arrival = admission::Arrival { organisation, weight, deadline, priority, risk };
-        if upstream.is_lease_expired(self.lease_duration, now) {
+        if upstream.lease.is_expired(self.lease_duration, now) {
             return Err(retry::AttemptEnd::NotRun(outcome::Rejection::NoUpstream));
         }
         if !upstream.allows(envelope.risk, now) {
@@ -384,7 +386,7 @@
         let withdrawn = budget.filter(|_| envelope.is_retry);
         if let Some(budget) = withdrawn
             && let need = calls::retry_need(envelope, &priority, upstream, now)
-            && !upstream.withdraw_retry(&budget, &need, now)
+            && !upstream.retries.withdraw(&budget, &need, now)
         {
             metrics::counter!(
                 "lynxmast_retries_denied_total",
@@ -397,20 +399,20 @@
         let slot =
             upstream.admit(&arrival, envelope.is_redirected, now).await.map_err(|rejection| {
                 if withdrawn.is_some() {
-                    upstream.refund_retry();
+                    upstream.retries.refund();
                 }
                 retry::AttemptEnd::NotRun(rejection)
             })?;
         if let Some(budget) = budget.filter(|_| !envelope.is_retry) {
-            upstream.record_first_attempt(&budget, envelope.retry_probability, now);
+            upstream.retries.record_first_attempt(&budget, envelope.retry_probability, now);
         }
         let kind = match (envelope.is_retry, envelope.risk) {
-            (true, _) => upstream::RequestKind::Retry,
+            (true, _) => retry_account::RequestKind::Retry,
             (false, outlier::RiskTolerance::Probe | outlier::RiskTolerance::Any) => {
-                upstream::RequestKind::Retryable
+                retry_account::RequestKind::Retryable
             }
             (false, outlier::RiskTolerance::Avoid | outlier::RiskTolerance::Accept) => {
-                upstream::RequestKind::NotRetryable
+                retry_account::RequestKind::NotRetryable
             }
         };
         let organisation = envelope.organisation.clone();
@@ -461,11 +463,11 @@
     /// requests in flight at the local upstreams.
     pub fn retry_probability(&self) -> f64 {
         let upstreams = self.read_upstreams();
-        let retries: u32 = upstreams.values().map(|upstream| upstream.retries()).sum();
+        let retries: u32 = upstreams.values().map(|upstream| upstream.retries.retries()).sum();
         if retries == 0 {
             return 0.0;
         }
-        let total: u32 = upstreams.values().map(|upstream| upstream.retryable()).sum();
+        let total: u32 = upstreams.values().map(|upstream| upstream.retries.retryable()).sum();
         f64::from(retries) / f64::from(total.max(retries))
     }
 
@@ -542,7 +544,7 @@
     /// Sends a request again on a new connection, which replaces an unresponsive one.
     async fn resend(
         &self,
-        slot: &upstream::Slot<C>,
+        slot: &slot::Slot<C>,
         request: http::Request<request_body::RequestBody>,
         deadline: time::Instant,
     ) -> Result<forwarding::ResponseHead, retry::AttemptEnd> {
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -16,6 +16,7 @@
 use crate::sidecar::departed;
 use crate::sidecar::departure_error;
 use crate::upstream;
+use crate::upstream::lease;
 
 /// Time for which the response to a heartbeat or departure waits for the registry. A backend server waits
 /// for at most a second.
@@ -56,7 +57,7 @@
         let service = policy
             .service(&announcement.service)
             .ok_or_else(|| format!("the policy has no service '{}' yet", announcement.service))?;
-        let lease = upstream::Lease {
+        let lease = lease::Lease {
             incarnation: announcement.incarnation,
             instance: announcement.instance.clone(),
             sequence: announcement.sequence,
@@ -143,7 +144,7 @@
     fn renew(
         &self,
         announcement: &announce::Announcement,
-        lease: upstream::Lease,
+        lease: lease::Lease,
         service: &service::Service,
     ) -> Result<(), String> {
         let address = announcement.address;
@@ -164,13 +165,13 @@
             self.publish();
             return Ok(());
         };
-        let previous = existing.lease();
+        let previous = existing.lease.newest();
         if announcement.incarnation < previous.incarnation {
             let reason =
                 format!("a newer incarnation has announced itself ({})", previous.incarnation);
             return Err(reason);
         }
-        if announcement.incarnation == previous.incarnation && existing.leaving().is_some() {
+        if announcement.incarnation == previous.incarnation && existing.lease.leaving().is_some() {
             // It stays drained, but lives on until it has run its requests.
             existing.renew(lease);
             return Ok(());
@@ -214,7 +215,7 @@
         let Some(upstream) = self.find_upstream(&id) else {
             return Ok(announce::DrainStatus { in_flight: 0 });
         };
-        let incarnation = upstream.lease().incarnation;
+        let incarnation = upstream.lease.newest().incarnation;
         if departure.incarnation != incarnation {
             return Err(format!("departure rejected: the serving incarnation is {incarnation}"));
         }
@@ -249,10 +250,10 @@
         let since_epoch = wall_time.duration_since(time::UNIX_EPOCH).unwrap_or_default();
         let now_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let is_named = |upstream: &sync::Arc<upstream::Upstream<C>>| {
-            upstream.lease().instance.as_ref() == Some(instance)
+            upstream.lease.newest().instance.as_ref() == Some(instance)
         };
         let existing: Vec<_> = self.upstreams().into_iter().filter(is_named).collect();
-        let newest = existing.iter().map(|upstream| upstream.lease().incarnation).max();
+        let newest = existing.iter().map(|upstream| upstream.lease.newest().incarnation).max();
         self.record_departure(instance, newest.unwrap_or(now_ms));
         let mut is_changed = false;
         for upstream in existing.iter().filter(|upstream| !upstream.is_draining()) {
@@ -278,12 +279,12 @@
         for upstream in self.upstreams() {
             let service = policy.service(&upstream.id.service);
             let Some(service) =
-                service.filter(|_| !upstream.is_lease_expired(self.lease_duration, now))
+                service.filter(|_| !upstream.lease.is_expired(self.lease_duration, now))
             else {
                 obsolete.push(upstream);
                 continue;
             };
-            let lease = upstream.lease();
+            let lease = upstream.lease.newest();
             // The departure was recorded by an earlier process, and learned after the announcement.
             let departed = |name: &ids::InstanceName| self.has_departed(name, lease.incarnation);
             if !upstream.is_draining() && lease.instance.as_ref().is_some_and(departed) {
@@ -353,7 +354,7 @@
 }
 
 fn membership_record<C: clock::Clock>(upstream: &upstream::Upstream<C>) -> member::Upstream {
-    let lease = upstream.lease();
+    let lease = upstream.lease.newest();
     member::Upstream {
         id: upstream.id.clone(),
         slots: upstream.limits().slots,
--- a/crates/transport/src/sidecar/forwarding.rs
+++ b/crates/transport/src/sidecar/forwarding.rs
@@ -14,6 +14,7 @@
 use crate::pool;
 use crate::request_body;
 use crate::upstream;
+use crate::upstream::slot;
 
 /// Maximum number of connections tried for a request that could not be sent on any of them.
 const CONNECTIONS_TRIED_MAX: u32 = 3;
@@ -84,7 +85,7 @@
 /// The slot is marked as forwarded before the first byte is sent. If the connection turns out to be
 /// closed and the request was not sent, the request is sent on a new connection.
 pub async fn forward<C: clock::Clock>(
-    slot: &upstream::Slot<C>,
+    slot: &slot::Slot<C>,
     mut connection: pool::Connection,
     request: http::Request<request_body::RequestBody>,
 ) -> Result<ResponseHead, retry::AttemptEnd> {
--- a/crates/transport/src/upstream/tests.rs
+++ b/crates/transport/src/upstream/tests.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use lynxmast_state::outcome;
 use lynxmast_state::priority;
 use lynxmast_state::running;
 
@@ -14,7 +15,8 @@
     let id = ids::UpstreamId { service: "checkout".into(), address };
     let limits =
         admission::Limits { slots, queue: 16, max_wait: SECOND, ramp: time::Duration::ZERO };
-    let lease = Lease { incarnation: 1, instance: None, sequence: 0, slots: None, renewed: now };
+    let lease =
+        lease::Lease { incarnation: 1, instance: None, sequence: 0, slots: None, renewed: now };
     sync::Arc::new(Upstream::new(id, limits, lease, clock::SystemClock))
 }
 
