Split the ingress into the context of a request and its attempts

What is known of a request while it is served is in `ingress/request_context.rs`, the loop over its attempts in `ingress/attempts.rs`; the places of calls have a file of their own, so that no files form a circle.

--- a/crates/transport/src/ingress/attempt.rs
+++ b/crates/transport/src/ingress/attempt.rs
@@ -15,6 +15,8 @@
 use crate::cutoff;
 use crate::hop;
 use crate::ingress;
+use crate::ingress::attempts;
+use crate::ingress::request_context;
 use crate::outstanding_request;
 use crate::peers;
 use crate::request_body;
@@ -30,9 +32,9 @@
     /// Sends the request to one upstream and waits for the response.
     pub(super) async fn try_upstream(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         mut outstanding: outstanding_request::OutstandingRequest<C>,
-        options: ingress::AttemptOptions,
+        options: attempts::AttemptOptions,
     ) -> ResponseResult<C> {
         let started = self.shared.now();
         let envelope = envelope::Envelope {
@@ -77,7 +79,7 @@
 
     async fn send_to_local_sidecar(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         envelope: &envelope::Envelope,
         outstanding: &mut outstanding_request::OutstandingRequest<C>,
     ) -> Result<http::Response<UntrackedBody<C>>, retry::AttemptEnd> {
@@ -93,9 +95,9 @@
 
     async fn send_to_peer(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         envelope: &envelope::Envelope,
-        options: ingress::AttemptOptions,
+        options: attempts::AttemptOptions,
         outstanding: &mut outstanding_request::OutstandingRequest<C>,
     ) -> Result<http::Response<UntrackedBody<C>>, retry::AttemptEnd> {
         let mut request = build_request(context);
@@ -190,7 +192,7 @@
     /// body.
     fn attribute_to_caller(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         end: retry::AttemptEnd,
     ) -> retry::AttemptEnd {
         match end {
@@ -233,7 +235,9 @@
     }
 }
 
-fn build_request(context: &ingress::RequestContext) -> http::Request<crate::replay::AttemptBody> {
+fn build_request(
+    context: &request_context::RequestContext,
+) -> http::Request<crate::replay::AttemptBody> {
     let mut request = http::Request::new(context.body.attempt());
     *request.method_mut() = context.head.method.clone();
     *request.uri_mut() = context.head.uri.clone();
--- a/crates/transport/src/ingress/call.rs
+++ b/crates/transport/src/ingress/call.rs
@@ -1,25 +1,16 @@
 //! Calls that the local backend server makes while it runs requests.
 
-use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use lynxmast_state::clock;
 use lynxmast_state::ids;
-use lynxmast_state::parent_admission;
 use lynxmast_state::policy::compiled;
 use lynxmast_state::retry;
-use lynxmast_state::running;
 
 use crate::ingress;
+use crate::ingress::call_slot;
 use crate::ingress::head;
-
-/// Parent of a call.
-#[derive(Debug)]
-pub struct Parent {
-    running: running::Running,
-    held_back: parent_admission::HeldBack,
-}
+use crate::ingress::request_context;
 
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Returns a place among the calls for a request that is probably the call of a running request
@@ -31,13 +22,13 @@
         parsed: &head::RequestHead,
         policy: &compiled::CompiledPolicy,
         route_match: &compiled::RouteMatch,
-    ) -> Option<CallSlot> {
+    ) -> Option<call_slot::CallSlot> {
         if !policy.has_organisations() || parsed.key.is_some() {
             return None;
         }
         let service = &route_match.service.name;
         let (running, rank) = self.sidecar.running_elsewhere(service);
-        let slot = CallSlot::take(&self.calls, running, rank?)?;
+        let slot = call_slot::CallSlot::take(&self.calls, running, rank?)?;
         metrics::counter!("lynxmast_calls_total", "service" => service.to_string()).increment(1);
         Some(slot)
     }
@@ -50,20 +41,20 @@
         parsed: &head::RequestHead,
         route_match: &compiled::RouteMatch,
         arrived: time::Instant,
-    ) -> Option<Parent> {
+    ) -> Option<call_slot::Parent> {
         let timeout = parsed.timeout.filter(|_| parsed.key.is_none())?;
         let deadline = arrived.checked_add(timeout)?;
         let service = &route_match.service.name;
         let running = self.sidecar.find_parent(service, deadline)?;
         metrics::counter!("lynxmast_calls_total", "service" => service.to_string()).increment(1);
         let held_back = self.sidecar.record_call(&running, service);
-        Some(Parent { running, held_back })
+        Some(call_slot::Parent { running, held_back })
     }
 
     /// Records the end of a request that is a call, and whether capacity was missing for it.
     pub(super) fn record_call_end<B>(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         result: &Result<http::Response<B>, retry::AttemptEnd>,
     ) {
         let Some(parent) = &context.parent else { return };
@@ -76,34 +67,7 @@
     }
 }
 
-/// Number of requests under way that count as calls, shared between the requests of an ingress.
-pub type CallCount = sync::Arc<atomic::AtomicUsize>;
-
-/// Place of a request among those that count as calls; given up when it is dropped.
-#[derive(Debug)]
-pub struct CallSlot {
-    count: CallCount,
-    /// Most urgent rank of the requests that may have made the call.
-    rank: u32,
-}
-
-impl CallSlot {
-    /// Takes a place if fewer than `limit` are taken.
-    fn take(count: &CallCount, limit: usize, rank: u32) -> Option<Self> {
-        let increment = |taken: usize| (taken < limit).then_some(taken + 1);
-        let ordering = atomic::Ordering::Relaxed;
-        count.fetch_update(ordering, ordering, increment).ok()?;
-        Some(Self { count: count.clone(), rank })
-    }
-}
-
-impl Drop for CallSlot {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
-
-impl ingress::RequestContext {
+impl request_context::RequestContext {
     /// Returns whether the request is probably a call of a running one.
     pub(super) fn is_call(&self) -> bool {
         self.parent.is_some() || self.call.is_some()
--- a/crates/transport/src/ingress/head.rs
+++ b/crates/transport/src/ingress/head.rs
@@ -119,3 +119,8 @@
 
 #[cfg(test)]
 mod tests;
+
+/// Returns the text of a request id; `-` if there is none.
+pub fn id_text(id: Option<&http::HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+}
--- a/crates/transport/src/ingress/hold.rs
+++ b/crates/transport/src/ingress/hold.rs
@@ -15,6 +15,7 @@
 use crate::body_error;
 use crate::held_body;
 use crate::ingress;
+use crate::ingress::request_context;
 use crate::read_ahead_body;
 use crate::response_body;
 use crate::stall_timeout;
@@ -31,7 +32,7 @@
     /// Returns why the response is not complete.
     pub(super) async fn hold_response(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         response: Response<C>,
         may_retry: bool,
     ) -> Result<Response<C>, outcome::Failure> {
--- a/crates/transport/src/ingress/quarantine.rs
+++ b/crates/transport/src/ingress/quarantine.rs
@@ -9,6 +9,7 @@
 use lynxmast_state::retry;
 
 use crate::ingress;
+use crate::ingress::request_context;
 use crate::outstanding_request;
 
 /// Longest wait before a request is sent again under which an upstream has crashed: within it, most
@@ -18,7 +19,7 @@
 impl<C: clock::Clock> ingress::Ingress<C> {
     /// Waits for news of other crashes before a retry if an upstream has crashed under a copy of the
     /// request. Takes at most a quarter of the time left.
-    pub(super) async fn await_crash_reports(&self, context: &ingress::RequestContext) {
+    pub(super) async fn await_crash_reports(&self, context: &request_context::RequestContext) {
         if !context.idempotent || !self.shared.quarantine().is_suspected_head(context.head_hash) {
             return;
         }
@@ -30,7 +31,7 @@
     /// request, as much of the body is read as is needed to tell them apart.
     pub(super) async fn check_quarantine(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
     ) -> Result<(), retry::AttemptEnd> {
         if !self.shared.quarantine().is_suspected_head(context.head_hash) {
             return Ok(());
@@ -51,7 +52,7 @@
     /// whether the upstream has run it to its end.
     pub(super) fn record_response(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         status: http::StatusCode,
     ) {
         let Some(fingerprint) = context.fingerprint().filter(|_| !status.is_server_error()) else {
@@ -67,7 +68,7 @@
     /// reports that.
     pub(super) async fn record_crash(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         report: &envelope::AttemptReport,
         outstanding: &outstanding_request::OutstandingRequest<C>,
     ) {
--- a/crates/transport/src/ingress/retries.rs
+++ b/crates/transport/src/ingress/retries.rs
@@ -10,6 +10,7 @@
 
 use crate::ingress;
 use crate::ingress::attempt;
+use crate::ingress::request_context;
 use crate::outstanding_request;
 
 /// Mean number of retries left at the upstreams of a service from which a request may probe a
@@ -49,7 +50,7 @@
     /// again, each at the expense of the retry budget of the called service.
     pub(super) fn try_retry_server_error<B>(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         response: &http::Response<B>,
         progress: &mut progress::Progress,
     ) -> bool {
@@ -67,7 +68,7 @@
     /// attempts that reached a backend server.
     pub(super) fn try_retry(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         end: retry::AttemptEnd,
         attempts: u32,
         progress: &mut progress::Progress,
@@ -91,7 +92,7 @@
 
     /// Returns whether the retry budget covers the retry that a probe of a suspected upstream is
     /// likely to need.
-    pub(super) fn may_probe(&self, context: &ingress::RequestContext) -> bool {
+    pub(super) fn may_probe(&self, context: &request_context::RequestContext) -> bool {
         let service = &context.route_match.service;
         let is_shared = service.retry_reserve.is_some();
         self.shared.with_traffic(&service.name, |traffic| match is_shared {
@@ -102,7 +103,10 @@
 
     /// Returns the time without a response after which a hedge is sent; `None` if the service does
     /// not hedge, the request is not idempotent, or no response times are known yet.
-    pub(super) fn hedge_delay(&self, context: &ingress::RequestContext) -> Option<time::Duration> {
+    pub(super) fn hedge_delay(
+        &self,
+        context: &request_context::RequestContext,
+    ) -> Option<time::Duration> {
         let service = &context.route_match.service;
         let allowed = service.hedge && retry::is_safe_to_retry(None, context.idempotent);
         let latency = self.shared.with_traffic(&service.name, |t| t.latency_p95.value());
@@ -114,7 +118,7 @@
     /// body is not fully buffered, no attempt or budget is left, or there is no other upstream.
     pub(super) fn pick_hedge(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         progress: &mut progress::Progress,
     ) -> Option<outstanding_request::OutstandingRequest<C>> {
         let is_suspected = self.shared.quarantine().is_suspected_head(context.head_hash);
--- a/crates/transport/src/ingress/telemetry.rs
+++ b/crates/transport/src/ingress/telemetry.rs
@@ -11,6 +11,8 @@
 use lynxmast_state::retry;
 
 use crate::ingress;
+use crate::ingress::head;
+use crate::ingress::request_context;
 
 /// Number of successful requests skipped between two that are logged, so that a busy daemon logs
 /// one every few seconds at most.
@@ -20,7 +22,7 @@
     /// Records the duration of a request, by service and outcome.
     pub(super) fn record_duration<B>(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         result: &Result<http::Response<B>, retry::AttemptEnd>,
     ) {
         let (outcome, _) = outcome_of(result);
@@ -36,7 +38,7 @@
     /// Logs a sample of the successful requests, with the number skipped since the last one.
     pub(super) fn log_success(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         progress: &progress::Progress,
         status: u16,
     ) {
@@ -60,7 +62,7 @@
     /// Logs a failed request with the values that decided its outcome, or samples a successful one.
     pub(super) fn log_request<B>(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         progress: &progress::Progress,
         result: &Result<http::Response<B>, retry::AttemptEnd>,
     ) {
@@ -101,7 +103,7 @@
         let outcome = outcome::Outcome::NotRun(rejection);
         log::info!(
             event = "request",
-            id = id_text(id),
+            id = head::id_text(id),
             outcome = outcome.as_str(),
             reason = outcome.reason(),
             policy = self.shared.policy().version,
@@ -113,7 +115,7 @@
     /// Logs a failed attempt.
     pub(super) fn log_attempt<B>(
         &self,
-        context: &ingress::RequestContext,
+        context: &request_context::RequestContext,
         upstream: net::SocketAddr,
         sidecar: net::SocketAddr,
         started: time::Instant,
@@ -153,11 +155,6 @@
     outcome == outcome::Outcome::Answered && status < 500
 }
 
-/// Returns the text of a request id; `-` if there is none.
-pub fn id_text(id: Option<&http::HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
-}
-
 /// Logs a request that was rejected under the quota of its organisation.
 pub fn log_over_quota(
     id: Option<&http::HeaderValue>,
@@ -168,7 +165,7 @@
     let quota = route_match.quota;
     log::info!(
         event = "request",
-        id = id_text(id),
+        id = head::id_text(id),
         outcome = outcome.as_str(),
         reason = outcome.reason(),
         organisation = &*route_match.organisation,
