Show a machine that states its former service after a change of the settings

Cause: without a signal, the settings file is compared every 5 s, and nothing else tells the ingress of the service of its machine.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -20,6 +20,7 @@
         "drain-behind-upload" => drain_behind_upload(record, is_disrupted),
         "stop-behind-upload" => stop_behind_upload(record, is_disrupted),
         "nominated-header" => nominated_header(record, is_disrupted),
+        "silent-settings" => silent_settings(record, is_disrupted),
         _ => Err(format!("there is no case '{case}'")),
     }
 }
@@ -45,7 +46,7 @@
 const CONFIGURATION: &str = r#"{"version":"00000001","routes":{"cols":["name","host","path_prefix","kind","timeout","slo","priority","service","max_attempts","split"],"rows":[["r-checkout","shop.example","/checkout/","unsafe","3000ms","800ms",1,"storefront",2,null],["r-photo","shop.example","/photo/","upload","8000ms","1000ms",1,"media",2,null]]},"services":{"cols":["name","health_path","max_conns","protocol","tls"],"rows":[["storefront","/healthz",360,"h1",false],["media","/healthz",360,"h1",false]]},"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}"#;
 
 /// Services of the machines of a deployment.
-const SERVICES: [&str; 4] = ["media", "media", "storefront", "storefront"];
+const SERVICES: [&str; 6] = ["media", "media", "storefront", "storefront", "storefront", "storefront"];
 /// Bound `stable` of the site, after which the machines are in touch.
 const STABLE: Duration = Duration::from_secs(3);
 
@@ -192,3 +193,53 @@
     record.line(format!("{wrong} of {} runs did not name the caller's service storefront", runs.len()));
     Ok(wrong == 0)
 }
+
+/// A machine gets a server of another service. Its settings file changes with it, and no signal is sent.
+fn silent_settings(record: &Record, is_disrupted: bool) -> Result<bool, String> {
+    /// Bound `config_apply` of the site; requests that are sent earlier are left out.
+    const APPLY: f64 = 2.0;
+    const MACHINE: usize = 3;
+    let deployment = Deployment::start(false, record)?;
+    let daemon = &deployment.daemons[MACHINE];
+    let mut service = "storefront";
+    if is_disrupted {
+        let leaving = &deployment.servers[MACHINE];
+        leaving.drain(daemon.control);
+        std::thread::sleep(Duration::from_millis(2500));
+        leaving.leave(daemon.control);
+        std::thread::sleep(Duration::from_millis(2500));
+        // The daemon compares the file every 5 s after its start; the change comes soon after that.
+        let since = daemon.running_for().as_secs_f64() % 5.0;
+        std::thread::sleep(Duration::from_secs_f64(5.3 - since));
+        service = "media";
+        daemon.write_settings(service);
+        record.line("the settings of vm-3 name the service media, without a signal");
+        let new = server::Server::start("i-new", service, false, &deployment.runs, record);
+        if new.check_in(daemon.control) != Some(200) {
+            return Err("the check-in of the new server was not acknowledged".into());
+        }
+        record.line("the daemon of vm-3 has acknowledged the check-in of i-new, of the service media");
+        new.keep_checking_in(daemon.control);
+    }
+    let changed = record.seconds();
+    while record.seconds() < changed + 6.0 {
+        let is_counted = record.seconds() >= changed + APPLY;
+        let request = Request {
+            id: format!("{}-{:.2}", if is_counted { "after" } else { "soon" }, record.seconds() - changed),
+            path: "/checkout/1",
+            deadline: Duration::from_secs(5),
+            headers: String::new(),
+            body: vec![b'z'; 1200],
+            upload: Duration::ZERO,
+        };
+        request.send(daemon.entry, record);
+        std::thread::sleep(Duration::from_millis(80));
+    }
+    let runs = deployment.runs_of("after-");
+    if runs.len() < 20 {
+        return Err(format!("only {} requests ran", runs.len()));
+    }
+    let wrong = runs.iter().filter(|run| run.caller.as_deref() != Some(service)).count();
+    record.line(format!("{wrong} of {} runs named another service than {service}", runs.len()));
+    Ok(wrong == 0)
+}
--- a/review/rig-2/daemon.rs
+++ b/review/rig-2/daemon.rs
@@ -20,6 +20,7 @@
     store: SocketAddr,
     directory: PathBuf,
     process: Option<Child>,
+    started: Instant,
 }
 
 extern "C" {
@@ -56,6 +57,7 @@
             store,
             directory,
             process: None,
+            started: Instant::now(),
         }
     }
 
@@ -120,6 +122,12 @@
             .stderr(errors)
             .spawn();
         self.process = Some(process.expect("the daemon can be started; build it first"));
+        self.started = Instant::now();
+    }
+
+    /// Returns the time since the process was started.
+    pub fn running_for(&self) -> Duration {
+        self.started.elapsed()
     }
 
     /// Sends a signal to the process.
--- a/review/rig-2/server.rs
+++ b/review/rig-2/server.rs
@@ -30,7 +30,7 @@
     pub address: SocketAddr,
     born: u128,
     sequence: Arc<Mutex<u64>>,
-    /// State in the check-ins.
+    /// State in the check-ins; empty once the server has left.
     state: Arc<Mutex<&'static str>>,
     /// Whether requests with long bodies are answered before they are read.
     answers_early: bool,
@@ -144,6 +144,9 @@
             }
             loop {
                 std::thread::sleep(CHECK_IN_INTERVAL);
+                if server.state.lock().unwrap().is_empty() {
+                    return;
+                }
                 server.check_in(control);
             }
         });
@@ -160,4 +163,12 @@
         self.record.line(format!("the daemon of {} has acknowledged that it is draining", self.instance));
         at
     }
+
+    /// Says that the server leaves, and ends its check-ins.
+    pub fn leave(&self, control: SocketAddr) {
+        *self.state.lock().unwrap() = "";
+        let request = format!("DELETE /-/instances/{} HTTP/1.1\r\nHost: control\r\n\r\n", self.instance);
+        let status = http::call(control, request.as_bytes(), Duration::from_secs(1)).map(|response| response.status());
+        self.record.line(format!("{} leaves: {status:?}", self.instance));
+    }
 }
