Set the name of the caller's service after removing what Connection lists

Cause: the ingress set the header and then removed every header that Connection lists.

Why this works: what the caller lists is removed before the fleet sets anything, and the header is an end-to-end one, which no later hop removes either.

--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -154,6 +154,25 @@
         }
     }
 
+    /// Returns whether a header is meant for the other end of the exchange, so that no hop may remove it
+    /// because a message lists it in `Connection`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_protocol::header_scheme;
+    /// let name = http::HeaderName::from_static("x-from");
+    /// let scheme = header_scheme::HeaderScheme {
+    ///     caller_service: Some(name.clone()),
+    ///     ..Default::default()
+    /// };
+    /// assert!(scheme.is_end_to_end(&name));
+    /// assert!(!scheme.is_end_to_end(&http::header::TE));
+    /// ```
+    pub fn is_end_to_end(&self, name: &HeaderName) -> bool {
+        self.caller_service.as_ref() == Some(name)
+    }
+
     /// Returns whether the header of the key has a meaning in a policy without organisations too, since
     /// its name is reserved for lynxmast.
     pub fn is_key_reserved(&self) -> bool {
--- a/crates/transport/src/hop.rs
+++ b/crates/transport/src/hop.rs
@@ -4,6 +4,7 @@
 use http::header::HeaderMap;
 use http::header::HeaderName;
 use lynxmast_protocol::header as names;
+use lynxmast_protocol::header_scheme;
 
 /// Hop-by-hop headers, besides those that the `Connection` header lists.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
@@ -16,13 +17,15 @@
     header::UPGRADE,
 ];
 
-/// Removes the hop-by-hop headers, including those that the `Connection` header lists.
-pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
+/// Removes the hop-by-hop headers, including those that the `Connection` header lists, except for
+/// end-to-end headers of the `scheme`.
+pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap, scheme: &header_scheme::HeaderScheme) {
     let listed = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
     let named: Vec<HeaderName> = listed
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .filter(|name| *name != header::CONTENT_LENGTH && *name != header::HOST)
+        .filter(|name| !scheme.is_end_to_end(name))
         .collect();
     for name in named.iter().chain(&HOP_BY_HOP_HEADERS) {
         headers.remove(name);
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -202,9 +202,10 @@
             .map_or(route_match.route.deadline, |t| t.min(route_match.route.deadline));
         let idempotent =
             route_match.route.idempotent && !head.headers.contains_key(names::IDEMPOTENCY_KEY);
-        scheme.sanitise(&mut head.headers, &self.local_service());
+        // Headers are set only once the caller's are removed, as `Connection` may list any name.
+        hop::strip_hop_by_hop_headers(&mut head.headers, scheme);
         hop::strip_internal_headers(&mut head.headers);
-        hop::strip_hop_by_hop_headers(&mut head.headers);
+        scheme.sanitise(&mut head.headers, &self.local_service());
         if policy.has_organisations() {
             let name = route_match.has_organisation().then_some(&*route_match.organisation);
             scheme.write_organisation(&mut head.headers, name);
--- a/crates/transport/src/sidecar/attempt.rs
+++ b/crates/transport/src/sidecar/attempt.rs
@@ -109,7 +109,7 @@
             recorder.record(!is_error);
         }
         let (mut parts, incoming) = response.into_parts();
-        hop::strip_hop_by_hop_headers(&mut parts.headers);
+        hop::strip_hop_by_hop_headers(&mut parts.headers, &self.header_scheme);
         hop::strip_internal_headers(&mut parts.headers);
         let exchange = exchange::Exchange { incoming, connection, slot, returned_id };
         let limits = exchange::BodyLimits { stall, deadline };
--- a/crates/transport/src/sidecar/forwarding.rs
+++ b/crates/transport/src/sidecar/forwarding.rs
@@ -43,7 +43,7 @@
 ) -> http::Request<request_body::RequestBody> {
     let headers = request.headers_mut();
     hop::strip_internal_headers(headers);
-    hop::strip_hop_by_hop_headers(headers);
+    hop::strip_hop_by_hop_headers(headers, forwarded.scheme);
     forwarded.scheme.write_time_left(headers, time_left);
     headers.insert(&forwarded.scheme.exchange_id, forwarded.exchange_id.clone());
     if let (Some(name), Some(instance)) = (&forwarded.scheme.instance, forwarded.instance)
