Keep the id of an exchange whatever Connection lists

What callers saw: a request whose caller lists the id in Connection ran under an id of the daemon's, which no caller sent; a response whose backend server lists it came without the id.

Cause: each hop removed the id with the listed headers, and the sidecar gives an id to a request without one.

Evidence: connection_options::a_caller_that_lists_the_id_of_its_request_cannot_remove_it (2 of 2 cases) and a_server_that_lists_the_id_of_the_request_cannot_remove_it failed before, at a local and a remote upstream, and pass. Headers of the sender's own are still removed (listed_headers_of_the_sender_are_removed).

Why this works: the id is an end-to-end header of the scheme, which no hop removes for being listed.

--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -170,7 +170,8 @@
     /// assert!(!scheme.is_end_to_end(&http::header::TE));
     /// ```
     pub fn is_end_to_end(&self, name: &HeaderName) -> bool {
-        self.caller_service.as_ref() == Some(name)
+        let caller_service = self.caller_service.as_ref();
+        [Some(&self.exchange_id), caller_service].into_iter().flatten().any(|kept| kept == name)
     }
 
     /// Returns whether the header of the key has a meaning in a policy without organisations too, since
