Keep the signature of a response whatever Connection lists

What callers saw: a success without the backend server's X-Response-Stamp, if the server lists that header in Connection.

Cause: the sidecar removed it with the listed headers; the header scheme did not know that callers need it.

Evidence: connection_options::a_server_that_lists_its_signature_cannot_remove_it failed before, at a local and a remote upstream, and passes.

Why this works: the scheme names the signature, and it is an end-to-end header, which no hop removes for being listed.

--- a/crates/protocol/src/header_scheme.rs
+++ b/crates/protocol/src/header_scheme.rs
@@ -35,6 +35,8 @@
     /// Name of the caller's organisation; set by the ingress, which replaces any value that the
     /// caller sent. `None` if backend servers are not told.
     pub organisation: Option<HeaderName>,
+    /// Signature of a response by its backend server, which callers verify; forwarded unchanged.
+    pub signature: Option<HeaderName>,
     /// Marks a backend server's response to a request that it has not run.
     pub not_run: Option<HeaderName>,
     /// Requests per second that a backend server accepts from the whole fleet, in each of its
@@ -86,6 +88,7 @@
             caller_service: None,
             key: HeaderName::from_static(header::ORGANISATION_KEY),
             organisation: None,
+            signature: None,
             not_run: None,
             limit: HeaderName::from_static(header::LIMIT),
             leaving: HeaderName::from_static(header::LEAVING),
@@ -170,8 +173,9 @@
     /// assert!(!scheme.is_end_to_end(&http::header::TE));
     /// ```
     pub fn is_end_to_end(&self, name: &HeaderName) -> bool {
-        let caller_service = self.caller_service.as_ref();
-        [Some(&self.exchange_id), caller_service].into_iter().flatten().any(|kept| kept == name)
+        let (caller_service, signature) = (self.caller_service.as_ref(), self.signature.as_ref());
+        let kept = [Some(&self.exchange_id), caller_service, signature];
+        kept.contains(&Some(name))
     }
 
     /// Returns whether the header of the key has a meaning in a policy without organisations too, since
