Keep the headers of a body whatever Connection lists

What callers saw: the bytes of an encoded response without the header that names the encoding, if the backend server lists Content-Encoding in Connection; backend servers saw the same of requests.

Cause: each hop removed the header with the listed ones; only Host and Content-Length were exempt.

Evidence: connection_options::a_listed_content_encoding_reaches_its_receiver failed before in 2 of 2 cases, both directions, and passes.

Why this works: headers without which a body cannot be read belong to the body, and are exempt too.

--- a/crates/transport/src/hop.rs
+++ b/crates/transport/src/hop.rs
@@ -17,6 +17,16 @@
     header::UPGRADE,
 ];
 
+/// Headers that say where a message goes and how its body is to be read. They are not removed for being
+/// listed, as the message would have another meaning without them.
+const MESSAGE_HEADERS: [HeaderName; 5] = [
+    header::HOST,
+    header::CONTENT_LENGTH,
+    header::CONTENT_ENCODING,
+    header::CONTENT_RANGE,
+    header::CONTENT_TYPE,
+];
+
 /// Removes the hop-by-hop headers, including those that the `Connection` header lists, except for
 /// end-to-end headers of the `scheme`.
 pub fn strip_hop_by_hop_headers(headers: &mut HeaderMap, scheme: &header_scheme::HeaderScheme) {
@@ -24,8 +34,7 @@
     let named: Vec<HeaderName> = listed
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != header::CONTENT_LENGTH && *name != header::HOST)
-        .filter(|name| !scheme.is_end_to_end(name))
+        .filter(|name| !MESSAGE_HEADERS.contains(name) && !scheme.is_end_to_end(name))
         .collect();
     for name in named.iter().chain(&HOP_BY_HOP_HEADERS) {
         headers.remove(name);
