Remove Proxy-Connection at each hop

What backend servers saw: a header of the caller's connection, if they are beside the ingress; others did not get it, as HTTP/2 removes it between daemons.

Cause: it was missing in the list of hop-by-hop headers.

Evidence: hop::tests::headers_of_one_connection_are_removed failed before in one of seven cases and passes.

Why this works: the list has it, so each hop removes it.

--- a/crates/transport/src/hop.rs
+++ b/crates/transport/src/hop.rs
@@ -7,9 +7,10 @@
 use lynxmast_protocol::header_scheme;
 
 /// Hop-by-hop headers, besides those that the `Connection` header lists.
-const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
+const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::TE,
     header::TRAILER,
--- a/crates/transport/src/hop/tests.rs
+++ b/crates/transport/src/hop/tests.rs
@@ -24,3 +24,15 @@
 fn listed_headers_are_removed(lines: &[(&'static str, &[u8])], expected: &[&str]) {
     check(lines, expected);
 }
+
+// Guards against headers of one connection that local upstreams get and others do not, as HTTP/2 removes them.
+#[test_case("connection"; "connection")]
+#[test_case("keep-alive"; "keep alive")]
+#[test_case("proxy-connection"; "proxy connection")]
+#[test_case("te"; "te")]
+#[test_case("trailer"; "trailer")]
+#[test_case("transfer-encoding"; "transfer encoding")]
+#[test_case("upgrade"; "upgrade")]
+fn headers_of_one_connection_are_removed(name: &'static str) {
+    check(&[(name, b"1"), ("x-other", b"1")], &["x-other"]);
+}
