End truncated responses to HTTP/1.0 with a reset

What callers saw: a caller of HTTP/1.0 got a part of a response as a success.

Cause: hyper drops a connection whose response body fails, and the kernel closes it in order. HTTP/1.0 has no other sign that a response of unknown length is not complete.

Why this works: the connection of such a response ends with a reset unless the orderly shutdown after the whole response takes that back, also if the process ends. Linux reports a reset once, perhaps to the thread that writes, so a response to an upload of HTTP/1.0 is held until it is complete and has a length.

--- a/crates/testing/src/scripted_backend.rs
+++ b/crates/testing/src/scripted_backend.rs
@@ -17,8 +17,12 @@
     Send(&'static str),
     /// Waits before the next step.
     Wait(time::Duration),
+    /// Sends that many bytes.
+    Fill(usize),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// Fake backend server that responds to requests with scripts.
@@ -39,6 +43,16 @@
     ///
     /// Panics if no port can be opened.
     pub async fn start(scripts: Vec<Vec<Step>>) -> Self {
+        Self::start_with_id(scripts, header::EXCHANGE_ID).await
+    }
+
+    /// Starts a backend server like [`ScriptedBackend::start`], to which the header `id_name` states the
+    /// exchange id.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port can be opened.
+    pub async fn start_with_id(scripts: Vec<Vec<Step>>, id_name: &'static str) -> Self {
         let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let listener = tcp::TcpListener::bind(any_port).await.expect("a free port");
         let address = listener.local_addr().expect("a bound port");
@@ -46,7 +60,7 @@
         let counter = requests.clone();
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve_connection(stream, scripts.clone(), counter.clone()));
+                tokio::spawn(serve_connection(stream, scripts.clone(), counter.clone(), id_name));
             }
         });
         Self { address, requests, task: task.abort_handle() }
@@ -63,13 +77,14 @@
     mut stream: tcp::TcpStream,
     scripts: Vec<Vec<Step>>,
     requests: sync::Arc<atomic::AtomicU64>,
+    id_name: &'static str,
 ) {
     let mut index = 0;
     while let Some(head) = read_head(&mut stream).await {
         requests.fetch_add(1, atomic::Ordering::SeqCst);
         let script = scripts.get(index).or(scripts.last()).cloned().unwrap_or_default();
         index += 1;
-        let id = exchange_id(&head);
+        let id = exchange_id(&head, id_name);
         for step in script {
             match step {
                 Step::Send(text) => {
@@ -79,14 +94,22 @@
                     }
                 }
                 Step::Wait(time) => tokio::time::sleep(time).await,
+                Step::Fill(size) => {
+                    if stream.write_all(&vec![b'.'; size]).await.is_err() {
+                        return;
+                    }
+                }
                 Step::Close => return,
+                Step::Reset => {
+                    let _ = stream.set_zero_linger();
+                    return;
+                }
             }
         }
     }
 }
 
-/// Reads a request head; `None` if the connection ends or the head is not UTF-8. Requests to this
-/// server have no body.
+/// Reads a request head; `None` if the connection ends or the head is not UTF-8. A body is left unread.
 async fn read_head(stream: &mut tcp::TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
@@ -96,8 +119,8 @@
 }
 
 /// Returns the exchange id in a request head; empty if absent.
-fn exchange_id(head: &str) -> String {
+fn exchange_id(head: &str, name: &str) -> String {
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-    let line = lines.find(|(name, _)| name.eq_ignore_ascii_case(header::EXCHANGE_ID));
+    let line = lines.find(|(found, _)| found.eq_ignore_ascii_case(name));
     line.map(|(_, id)| id.to_owned()).unwrap_or_default()
 }
--- a/crates/transport/src/ingress/hold.rs
+++ b/crates/transport/src/ingress/hold.rs
@@ -41,10 +41,10 @@
         }
         let has_trailers = response.headers().contains_key(header::TRAILER);
         let size = response.body().size_hint().exact().filter(|_| !has_trailers);
-        let Some(size) = size else { return Ok(response.map(|body| self.read_ahead(body))) };
+        let stall = may_retry.then_some(context.route_match.service.stall);
+        let Some(size) = size else { return self.hold_unsized(context, response, stall).await };
         let started = self.shared.now();
         let service = &context.route_match.service.name;
-        let stall = may_retry.then_some(context.route_match.service.stall);
         let objective_left = context.objective_remaining(started);
         let time_left = context.deadline.saturating_duration_since(started);
         let plan = self.shared.with_traffic(service, |traffic| {
@@ -79,7 +79,7 @@
                 count("whole");
                 response_body::ResponseBody::Held(held)
             }
-            Ok(ReadEnd::OutOfTime) => {
+            Ok(ReadEnd::OutOfTime | ReadEnd::OutOfRoom) => {
                 count("out-of-time");
                 response_body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
             }
@@ -90,9 +90,35 @@
         };
         Ok(http::Response::from_parts(parts, body))
     }
-}
 
-impl<C: clock::Clock> ingress::Ingress<C> {
+    /// Holds a response of unknown length, as far as the byte budget allows, for a caller of HTTP/1.0 that
+    /// may still send its request. To such a caller the end of the connection is the end of the response,
+    /// and if that is a reset, the kernel may report it to the writer alone. For other callers the
+    /// response is streamed, as they notice that it is not complete.
+    async fn hold_unsized(
+        &self,
+        context: &request_context::RequestContext,
+        response: Response<C>,
+        stall: Option<time::Duration>,
+    ) -> Result<Response<C>, outcome::Failure> {
+        if context.head.version > http::Version::HTTP_10 || context.body_size == 0 {
+            return Ok(response.map(|body| self.read_ahead(body)));
+        }
+        let (parts, body) = response.into_parts();
+        let mut held = self.shared.held_bytes.empty(byte_budget::Kind::Response);
+        let mut reading = Reading { buffer: Vec::new(), body };
+        let end = reading.read_counted(&mut held, stall).await.map_err(failure)?;
+        let Reading { buffer, body } = reading;
+        let held = held_body::HeldBody::new(buffer, held);
+        let body = match end {
+            ReadEnd::Complete => response_body::ResponseBody::Held(held),
+            ReadEnd::OutOfTime | ReadEnd::OutOfRoom => {
+                response_body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
+            }
+        };
+        Ok(http::Response::from_parts(parts, body))
+    }
+
     /// Reads a body that is streamed ahead of its caller.
     fn read_ahead(&self, body: response_body::ResponseBody<C>) -> response_body::ResponseBody<C> {
         let held = self.shared.held_bytes.empty(byte_budget::Kind::ReadAhead);
@@ -110,6 +136,7 @@
 enum ReadEnd {
     Complete,
     OutOfTime,
+    OutOfRoom,
 }
 
 impl<C: clock::Clock> Reading<C> {
@@ -140,6 +167,26 @@
         is_complete.then_some(ReadEnd::Complete).ok_or(body_error::BodyError::Truncated)
     }
 
+    /// Reads a body of unknown length until `held` has no room for more.
+    async fn read_counted(
+        &mut self,
+        held: &mut byte_budget::Held,
+        stall: Option<time::Duration>,
+    ) -> Result<ReadEnd, body_error::BodyError> {
+        while let Some(frame) = self.next_frame(stall).await {
+            let Ok(data) = frame?.into_data() else { continue };
+            let has_room = held.try_grow(data.len());
+            if !has_room {
+                held.grow(data.len());
+            }
+            self.buffer.extend_from_slice(&data);
+            if !has_room {
+                return Ok(ReadEnd::OutOfRoom);
+            }
+        }
+        Ok(ReadEnd::Complete)
+    }
+
     async fn next_frame(
         &mut self,
         stall: Option<time::Duration>,
@@ -158,6 +205,7 @@
 fn failure(error: body_error::BodyError) -> outcome::Failure {
     match error {
         body_error::BodyError::Stalled => outcome::Failure::Stalled,
+        body_error::BodyError::Endless => outcome::Failure::Deadline,
         _ => outcome::Failure::Truncated,
     }
 }
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -218,13 +218,14 @@
         true
     };
     let stream = shared_stream::SharedStream::new(stream);
-    let caller_end = stream.end();
+    let handle = stream.handle();
     let stream = pipeline::ReadAhead::new(stream, limits.head_size, started.clone(), start);
     let service_started = started.clone();
     let serve = service::service_fn(move |request: http::Request<Incoming>| {
         let (handler, started) = (handler.clone(), service_started.clone());
-        let caller_end = caller_end.clone();
+        let handle = handle.clone();
         let (head, body) = request.into_parts();
+        let version = head.version;
         let early = started.take(&head);
         async move {
             let early = match early {
@@ -240,13 +241,16 @@
                     let request = http::Request::from_parts(head, body);
                     let response = tokio::select! {
                         response = handler.handle(request, peer) => response,
-                        () = caller_end.reached(), if may_be_unread => {
+                        () = handle.ended(), if may_be_unread => {
                             return Err(body_error::BodyError::Cancelled);
                         }
                     };
                     (response, None)
                 }
             };
+            if version <= http::Version::HTTP_10 && ends_with_connection(response.body()) {
+                handle.reset_unless_shut_down().map_err(|_| body_error::BodyError::Cancelled)?;
+            }
             let guard = (started.finish_guard(), permit);
             Ok(response.map(|body| guarded_body::GuardedBody::new(body, guard)))
         }
@@ -260,6 +264,12 @@
     drive(connection, stopped).await;
 }
 
+/// Returns whether the end of the connection is the end of a response to a caller of HTTP/1.0, which has no
+/// chunks.
+fn ends_with_connection(body: &impl Body) -> bool {
+    !body.is_end_stream() && body.size_hint().exact().is_none()
+}
+
 /// Drives a connection to its end. After `stopped`, no further request is read on it.
 async fn drive<C: graceful::GracefulConnection>(connection: C, stopped: impl Future<Output = ()>)
 where
--- a/crates/transport/src/shared_stream.rs
+++ b/crates/transport/src/shared_stream.rs
@@ -1,4 +1,5 @@
-//! TCP stream whose end can be noticed while nobody reads it.
+//! TCP stream whose end can be noticed while nobody reads it, and whose peer can tell an end in order from
+//! any other.
 
 use std::io;
 use std::net;
@@ -13,13 +14,13 @@
 use tokio::io::ReadBuf;
 use tokio::net as tcp;
 
-/// TCP stream of one connection. One task reads and writes; others may wait for its end.
+/// TCP stream of one connection. One task reads and writes; others may use its handles.
 #[derive(Debug)]
 pub struct SharedStream(sync::Arc<tcp::TcpStream>);
 
-/// Notices the end of a stream.
+/// Handle of a stream, which decides how it ends and notices that the peer has ended it.
 #[derive(Debug, Clone)]
-pub struct StreamEnd(sync::Arc<tcp::TcpStream>);
+pub struct StreamHandle(sync::Arc<tcp::TcpStream>);
 
 /// Time between checks for the end of a stream that has unread data.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -30,9 +31,9 @@
         Self(sync::Arc::new(stream))
     }
 
-    /// Returns a handle that notices the end of the stream.
-    pub fn end(&self) -> StreamEnd {
-        StreamEnd(self.0.clone())
+    /// Returns a handle of the stream.
+    pub fn handle(&self) -> StreamHandle {
+        StreamHandle(self.0.clone())
     }
 
     /// Writes with `write` as soon as the stream takes more.
@@ -51,7 +52,36 @@
     }
 }
 
-impl StreamEnd {
+impl StreamHandle {
+    /// Makes every end of the stream a reset, unless it is shut down in order first. This holds for the
+    /// end of the process as well, as the kernel then closes the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not take the option.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lynxmast_transport::shared_stream;
+    /// use tokio::io::AsyncReadExt;
+    /// use tokio::net::{TcpListener, TcpStream};
+    ///
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> std::io::Result<()> {
+    /// let listener = TcpListener::bind("127.0.0.1:0").await?;
+    /// let mut caller = TcpStream::connect(listener.local_addr()?).await?;
+    /// let stream = shared_stream::SharedStream::new(listener.accept().await?.0);
+    /// stream.handle().reset_unless_shut_down()?;
+    /// drop(stream);
+    /// assert!(caller.read_u8().await.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn reset_unless_shut_down(&self) -> io::Result<()> {
+        self.0.set_zero_linger()
+    }
+
     /// Waits until the peer has closed the connection or its writing half, also if data from before is
     /// still unread.
     ///
@@ -69,11 +99,11 @@
     /// let stream = shared_stream::SharedStream::new(listener.accept().await?.0);
     /// caller.write_all(b"nobody reads this").await?;
     /// drop(caller);
-    /// stream.end().reached().await;
+    /// stream.handle().ended().await;
     /// # Ok(())
     /// # }
     /// ```
-    pub async fn reached(&self) {
+    pub async fn ended(&self) {
         loop {
             match self.0.ready(Interest::READABLE).await {
                 Ok(ready) if !ready.is_read_closed() => {}
@@ -123,7 +153,8 @@
         _: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
         let stream = socket2::SockRef::from(&*self.0);
-        task::Poll::Ready(stream.shutdown(net::Shutdown::Write))
+        let result = stream.set_linger(None).and_then(|()| stream.shutdown(net::Shutdown::Write));
+        task::Poll::Ready(result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -138,3 +169,6 @@
         self.poll_write_with(cx, |stream| stream.try_write_vectored(buffers))
     }
 }
+
+#[cfg(test)]
+mod tests;
