Report responses with an invalid status as failures

What callers saw: status 600 or 999 of a backend server in trouble as an answer, not retried. The upstream counted as successful. 000 and 099 were reported as 502 already, which a test now shows.

Cause: the HTTP implementation accepts statuses from 100 to 999, and the sidecar checked for 101 only.

Evidence: response_integrity::a_response_with_an_invalid_status_is_no_answer failed before for 600 and 999 (two of seven cases) and passes.

Why this works: a status outside 200 to 599 is not a final response, so it is treated like bytes that are no response at all.

--- a/crates/testing/tests/response_integrity.rs
+++ b/crates/testing/tests/response_integrity.rs
@@ -121,3 +121,16 @@
         "the upstream with truncated responses got requests as well"
     );
 }
+
+// Guards against statuses that HTTP does not have, which callers would get as answers.
+#[test_case("HTTP/1.1 000 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "000")]
+#[test_case("HTTP/1.1 099 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "099")]
+#[test_case("HTTP/1.1 600 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "600")]
+#[test_case("HTTP/1.1 999 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "999")]
+#[test_case("HTTP/1.1 20 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "two digits")]
+#[test_case("HTTP/1.1 2000 x\r\nlynxmast-exchange: {id}\r\ncontent-length: 2\r\n\r\nok"; "four digits")]
+#[test_case("HTTP/1.1 101 x\r\nlynxmast-exchange: {id}\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n"; "101")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_with_an_invalid_status_is_no_answer(text: &'static str) {
+    check_two_requests(vec![vec![Step::Send(text)]], [(502, "bad-answer"); 2]).await;
+}
--- a/crates/transport/src/sidecar/forwarding.rs
+++ b/crates/transport/src/sidecar/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwarding of one request to a backend server, and validation of the response head.
 
+use std::ops;
 use std::time;
 
 use http::HeaderValue;
@@ -24,6 +25,10 @@
 /// Shortest time after which a connection without a response counts as unresponsive.
 const SILENCE_TIMEOUT_MIN: time::Duration = time::Duration::from_millis(100);
 
+/// Statuses of final responses (RFC 9110, 15). One above neither succeeded nor failed by any class, and an
+/// interim one that is handed on as the response switches protocols.
+const FINAL_STATUSES: ops::Range<u16> = 200..600;
+
 /// Headers that are added to a request for its backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct ForwardHeaders<'a> {
@@ -126,7 +131,7 @@
 /// # Errors
 ///
 /// Returns `BadResponse` if the response has another id, has none on a reused connection, is not
-/// framed, or switches protocols.
+/// framed, or has a status that HTTP does not define for a final response.
 pub fn check_response(
     response: &http::Response<Incoming>,
     connection: &pool::Connection,
@@ -149,7 +154,7 @@
     let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
     let unframed_allowed = forwarded.scheme.close_delimited && !has_length && !is_chunked;
     let is_framed = has_no_body || unframed_allowed || (has_length != is_chunked);
-    if is_foreign || !is_framed || status == http::StatusCode::SWITCHING_PROTOCOLS {
+    if is_foreign || !is_framed || !FINAL_STATUSES.contains(&status.as_u16()) {
         metrics::counter!("lynxmast_bad_answers_total").increment(1);
         return malformed;
     }
