Report responses with a transfer coding other than chunked as failures

Cause: the HTTP implementation removes chunked only, the header goes with the hop, and the check of the framing asked only whether the header is there.

Evidence: response_integrity::a_response_with_an_unknown_transfer_coding_is_no_answer failed before in five of five cases and passes.

Why this works: a response whose body still has a coding is no answer; the project announces none with TE.

--- a/crates/testing/tests/response_integrity.rs
+++ b/crates/testing/tests/response_integrity.rs
@@ -134,3 +134,17 @@
 async fn a_response_with_an_invalid_status_is_no_answer(text: &'static str) {
     check_two_requests(vec![vec![Step::Send(text)]], [(502, "bad-answer"); 2]).await;
 }
+
+// Guards against bodies of which a transfer coding was not removed.
+#[test_case("gzip", "\x1f\x08bytes"; "other coding")]
+#[test_case("gzip, chunked", "2\r\nok\r\n0\r\n\r\n"; "other coding before chunked")]
+#[test_case("chunked, gzip", "2\r\nok\r\n0\r\n\r\n"; "other coding after chunked")]
+#[test_case("chunked, chunked", "2\r\nok\r\n0\r\n\r\n"; "twice")]
+#[test_case("identity", "ok"; "identity")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_with_an_unknown_transfer_coding_is_no_answer(coding: &str, body: &str) {
+    let head = "HTTP/1.1 200 OK\r\nlynxmast-exchange: {id}\r\ntransfer-encoding: ";
+    let text: &'static str = format!("{head}{coding}\r\n\r\n{body}").leak();
+    let script = vec![Step::Send(text), Step::Close];
+    check_two_requests(vec![script], [(502, "bad-answer"); 2]).await;
+}
--- a/crates/transport/src/hop.rs
+++ b/crates/transport/src/hop.rs
@@ -42,6 +42,26 @@
     }
 }
 
+/// Returns whether a message has no transfer coding, or only `chunked`, which the HTTP implementation has
+/// removed from its body. The body would still have any other, of which the next hop is not told.
+///
+/// # Examples
+///
+/// ```
+/// let mut headers = http::HeaderMap::new();
+/// headers.insert("transfer-encoding", "Chunked".parse().unwrap());
+/// assert!(lynxmast_transport::hop::is_transfer_decoded(&headers));
+/// headers.insert("transfer-encoding", "gzip, chunked".parse().unwrap());
+/// assert!(!lynxmast_transport::hop::is_transfer_decoded(&headers));
+/// ```
+pub fn is_transfer_decoded(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = |value: &header::HeaderValue| {
+        value.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")
+    };
+    codings.next().is_none_or(is_chunked) && codings.next().is_none()
+}
+
 /// Removes all headers that only lynxmast may set, regardless of who set them.
 ///
 /// # Examples
--- a/crates/transport/src/sidecar/forwarding.rs
+++ b/crates/transport/src/sidecar/forwarding.rs
@@ -131,7 +131,7 @@
 /// # Errors
 ///
 /// Returns `BadResponse` if the response has another id, has none on a reused connection, is not
-/// framed, or has a status that HTTP does not define for a final response.
+/// framed or has a transfer coding other than `chunked`, or has a status that HTTP does not define for a final response.
 pub fn check_response(
     response: &http::Response<Incoming>,
     connection: &pool::Connection,
@@ -151,9 +151,12 @@
         || status == http::StatusCode::NO_CONTENT
         || status == http::StatusCode::NOT_MODIFIED;
     let has_length = headers.contains_key(header::CONTENT_LENGTH);
-    let is_chunked = headers.contains_key(header::TRANSFER_ENCODING);
-    let unframed_allowed = forwarded.scheme.close_delimited && !has_length && !is_chunked;
-    let is_framed = has_no_body || unframed_allowed || (has_length != is_chunked);
+    let is_coded = headers.contains_key(header::TRANSFER_ENCODING);
+    let is_framed = match is_coded {
+        _ if has_no_body => true,
+        true => !has_length && hop::is_transfer_decoded(headers),
+        false => has_length || forwarded.scheme.close_delimited,
+    };
     if is_foreign || !is_framed || !FINAL_STATUSES.contains(&status.as_u16()) {
         metrics::counter!("lynxmast_bad_answers_total").increment(1);
         return malformed;
