Reject requests with a transfer coding other than chunked

What backend servers saw: the coded bytes of a request with Transfer-Encoding gzip and chunked as its body, without a word of the coding.

Cause: as for responses: the HTTP implementation removes chunked only, and the header goes with the hop.

Evidence: two new cases of bad_input::malformed_heads_are_rejected failed before and pass.

Why this works: the ingress answers 400 before the request is sent anywhere.

--- a/crates/testing/tests/bad_input.rs
+++ b/crates/testing/tests/bad_input.rs
@@ -62,6 +62,8 @@
 #[test_case(b"GET / HTTP/1.1\r\nhost: h.example\r\nbad header: x\r\n\r\n", "400"; "bad header name")]
 #[test_case(b"POST / HTTP/1.1\r\nhost: h.example\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nxx", "400"; "conflicting lengths")]
 #[test_case(b"POST / HTTP/1.1\r\nhost: h.example\r\ncontent-length: x\r\n\r\n", "400"; "non-numeric length")]
+#[test_case(b"POST / HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nxx\r\n0\r\n\r\n", "400"; "transfer coding before chunked")]
+#[test_case(b"POST / HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\ntransfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n2\r\nxx\r\n0\r\n\r\n", "400"; "transfer coding on a line before chunked")]
 #[test_case(b"GET /a/../b HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\n\r\n", "400"; "dot segments")]
 #[test_case(b"GET /x HTTP/1.1\r\nhost: other.example\r\nconnection: close\r\n\r\n", "404"; "unknown host")]
 #[test_case(b"GET / HTTP/1.1\r\nhost: h.example\r\nlynxmast-key: guess\r\nconnection: close\r\n\r\n", "401"; "unknown key")]
--- a/crates/transport/src/ingress/head.rs
+++ b/crates/transport/src/ingress/head.rs
@@ -8,6 +8,8 @@
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::outcome;
 
+use crate::hop;
+
 /// Parts of a request head that routing depends on.
 #[derive(Debug, PartialEq)]
 pub struct RequestHead {
@@ -27,8 +29,9 @@
     ///
     /// # Errors
     ///
-    /// Returns `BadRequest` for malformed heads, for `CONNECT` and upgrades, and for heads that a
-    /// backend server might interpret differently from the routing rules.
+    /// Returns `BadRequest` for malformed heads, for `CONNECT` and upgrades, for transfer codings other
+    /// than `chunked`, and for heads that a backend server might interpret differently from the routing
+    /// rules.
     pub fn parse(
         head: &http::request::Parts,
         scheme: &header_scheme::HeaderScheme,
@@ -37,7 +40,8 @@
         let bad_request = outcome::Rejection::BadRequest;
         let headers = &head.headers;
         let is_connect = head.method == http::Method::CONNECT;
-        if is_connect || headers.contains_key(header::UPGRADE) {
+        if is_connect || headers.contains_key(header::UPGRADE) || !hop::is_transfer_decoded(headers)
+        {
             return Err(bad_request);
         }
         let path = head.uri.path();
