Show what becomes of interim responses, lengths that do not fit and trailers

No change of behaviour: response_integrity has tests of 1xx before and in place of a final response, of lengths that are signed, repeated, empty, too long or beyond 64 bits, of chunks that break off, and of trailers.

--- a/crates/testing/tests/response_integrity.rs
+++ b/crates/testing/tests/response_integrity.rs
@@ -148,3 +148,51 @@
     let script = vec![Step::Send(text), Step::Close];
     check_two_requests(vec![script], [(502, "bad-answer"); 2]).await;
 }
+
+// Guards against callers that get an interim response, or none, in place of the final one.
+#[test_case("HTTP/1.1 100 Continue\r\n\r\n"; "100")]
+#[test_case("HTTP/1.1 103 Early Hints\r\nlink: x\r\nlynxmast-exchange: {id}\r\n\r\n"; "103")]
+#[test_case("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 x\r\n\r\n"; "two")]
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_responses_are_passed_over(interim: &'static str) {
+    let script = vec![Step::Send(interim), PAUSE, Step::Send(WITH_ID)];
+    check_two_requests(vec![script], [(200, ""); 2]).await;
+    let script = vec![Step::Send(interim), PAUSE, Step::Close];
+    check_two_requests(vec![script], [(502, "connection-lost"); 2]).await;
+}
+
+// Guards against lengths by which a body is taken for complete, or that hide a response behind it.
+#[test_case("content-length: 3\r\n\r\nok", (502, "truncated"); "too long")]
+#[test_case("content-length: +2\r\n\r\nok", (502, "bad-answer"); "signed")]
+#[test_case("content-length: 2, 2\r\n\r\nok", (200, ""); "repeated in a list")]
+#[test_case("content-length: 2\r\ncontent-length: 2\r\n\r\nok", (200, ""); "repeated")]
+#[test_case("content-length: 2, 3\r\n\r\nok", (502, "bad-answer"); "list of two")]
+#[test_case("content-length: 18446744073709551616\r\n\r\nok", (502, "bad-answer"); "beyond 64 bits")]
+#[test_case("content-length: 18446744073709551615\r\n\r\nok", (502, "bad-answer"); "largest")]
+#[test_case("content-length: \r\n\r\nok", (502, "bad-answer"); "empty")]
+#[test_case("transfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nok", (200, ""); "chunk beyond all memory")]
+#[test_case("transfer-encoding: chunked\r\n\r\n3\r\nok\r\n0\r\n\r\n", (200, ""); "chunk too long")]
+#[tokio::test(flavor = "multi_thread")]
+async fn lengths_that_do_not_fit_are_reported(rest: &str, expected: (u16, &'static str)) {
+    let head = "HTTP/1.1 200 OK\r\nlynxmast-exchange: {id}\r\n";
+    let script = vec![Step::Send(format!("{head}{rest}").leak()), PAUSE, Step::Close];
+    let (fleet, _scripted) = start(vec![script]).await;
+    let response = caller::Caller::new(fleet.ingress_address(0)).send(&request("/")).await;
+    assert_eq!((response.status, response.reason.as_str()), expected, "{response:?}");
+    if response.status == 200 && rest.starts_with("transfer") {
+        assert!(!response.is_complete, "{response:?}");
+    }
+}
+
+// Guards against trailers by which a response changes its length, its id or its outcome.
+#[tokio::test(flavor = "multi_thread")]
+async fn trailers_change_nothing() {
+    let text = "HTTP/1.1 200 OK\r\nlynxmast-exchange: {id}\r\ntrailer: content-length\r\n\
+        transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\ncontent-length: 9\r\n\
+        lynxmast-outcome: not-run\r\nlynxmast-exchange: other\r\n\r\n";
+    check_two_requests(vec![vec![Step::Send(text)]], [(200, ""); 2]).await;
+    let cut = text.strip_suffix("\r\n").expect("an end");
+    let (fleet, _scripted) = start(vec![vec![Step::Send(cut), PAUSE, Step::Close]]).await;
+    let response = caller::Caller::new(fleet.ingress_address(0)).send(&request("/")).await;
+    assert!(!response.is_complete, "{response:?}");
+}
