Remove the fleet's headers from trailers of responses

What callers saw: over HTTP/2, a trailer such as lynxmast-outcome of the backend server beside the fleet's own header.

Cause: headers with the fleet's prefix were removed from heads only, and HTTP/2 passes trailers on.

Evidence: truncated_responses::trailers_of_a_response_state_nothing_in_the_name_of_the_fleet failed before for HTTP/2 and passes. Tests that passed at once: trailers of requests are not forwarded; retries and hedges deliver one whole response (six cases, three versions of HTTP).

Why this works: the sidecar removes them where it reads the response.

--- a/crates/transport/src/exchange.rs
+++ b/crates/transport/src/exchange.rs
@@ -15,11 +15,14 @@
 use lynxmast_state::clock;
 
 use crate::body_error;
+use crate::hop;
 use crate::pool;
 use crate::result_recorder;
 use crate::stall_timeout;
 use crate::upstream::slot;
 
+type FrameResult = Result<body::Frame<Bytes>, body_error::BodyError>;
+
 /// An exchange whose response body is being forwarded.
 #[derive(Debug)]
 pub struct Exchange<C: clock::Clock> {
@@ -231,6 +234,15 @@
     }
 }
 
+/// Removes what only lynxmast may state from the trailers of a response, which callers of HTTP/2 get.
+fn strip_trailers(frame: Option<FrameResult>) -> Option<FrameResult> {
+    let mut frame = frame;
+    if let Some(trailers) = frame.as_mut().and_then(|f| f.as_mut().ok()?.trailers_mut()) {
+        hop::strip_internal_headers(trailers);
+    }
+    frame
+}
+
 impl<C: clock::Clock> Body for SidecarBody<C> {
     type Data = Bytes;
     type Error = body_error::BodyError;
@@ -262,7 +274,8 @@
                 state.record_progress(now);
                 drop(state);
                 this.timer.reset();
-                frame.map(|f| f.map_err(|_| body_error::BodyError::Truncated))
+                let frame = frame.map(|f| f.map_err(|_| body_error::BodyError::Truncated));
+                strip_trailers(frame)
             }
         };
         match &result {
