--- a/crates/transport/src/shared_stream.rs
+++ b/crates/transport/src/shared_stream.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::pin;
 use std::sync;
+use std::sync::atomic;
 use std::task;
 use std::time;
 
@@ -16,11 +17,18 @@
 
 /// TCP stream of one connection. One task reads and writes; others may use its handles.
 #[derive(Debug)]
-pub struct SharedStream(sync::Arc<tcp::TcpStream>);
+pub struct SharedStream(sync::Arc<State>);
 
 /// Handle of a stream, which decides how it ends and notices that the peer has ended it.
 #[derive(Debug, Clone)]
-pub struct StreamHandle(sync::Arc<tcp::TcpStream>);
+pub struct StreamHandle(sync::Arc<State>);
+
+#[derive(Debug)]
+struct State {
+    stream: tcp::TcpStream,
+    /// Whether dropping the stream resets it.
+    is_reset: atomic::AtomicBool,
+}
 
 /// Time between checks for the end of a stream that has unread data.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
@@ -28,7 +36,7 @@
 impl SharedStream {
     /// Wraps a stream.
     pub fn new(stream: tcp::TcpStream) -> Self {
-        Self(sync::Arc::new(stream))
+        Self(sync::Arc::new(State { stream, is_reset: Default::default() }))
     }
 
     /// Returns a handle of the stream.
@@ -43,8 +51,8 @@
         write: impl Fn(&tcp::TcpStream) -> io::Result<usize>,
     ) -> task::Poll<io::Result<usize>> {
         loop {
-            std::task::ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            std::task::ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return task::Poll::Ready(result),
             }
@@ -79,7 +87,8 @@
     /// # }
     /// ```
     pub fn reset_unless_shut_down(&self) -> io::Result<()> {
-        self.0.set_zero_linger()
+        self.0.is_reset.store(true, atomic::Ordering::Release);
+        self.0.stream.set_zero_linger()
     }
 
     /// Waits until the peer has closed the connection or its writing half, also if data from before is
@@ -105,7 +114,7 @@
     /// ```
     pub async fn ended(&self) {
         loop {
-            match self.0.ready(Interest::READABLE).await {
+            match self.0.stream.ready(Interest::READABLE).await {
                 Ok(ready) if !ready.is_read_closed() => {}
                 Ok(_) | Err(_) => return,
             }
@@ -121,8 +130,8 @@
         target: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         loop {
-            std::task::ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(target.initialize_unfilled()) {
+            std::task::ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(target.initialize_unfilled()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     return task::Poll::Ready(result.map(|length| target.advance(length)));
@@ -152,9 +161,11 @@
         self: pin::Pin<&mut Self>,
         _: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let stream = socket2::SockRef::from(&*self.0);
-        let result = stream.set_linger(None).and_then(|()| stream.shutdown(net::Shutdown::Write));
-        task::Poll::Ready(result)
+        let stream = socket2::SockRef::from(&self.0.stream);
+        if self.0.is_reset.swap(false, atomic::Ordering::AcqRel) {
+            stream.set_linger(None)?;
+        }
+        task::Poll::Ready(stream.shutdown(net::Shutdown::Write))
     }
 
     fn is_write_vectored(&self) -> bool {
