--- a/crates/transport/src/ingress/hold.rs
+++ b/crates/transport/src/ingress/hold.rs
@@ -79,7 +79,7 @@
                 count("whole");
                 response_body::ResponseBody::Held(held)
             }
-            Ok(ReadEnd::OutOfTime | ReadEnd::OutOfRoom) => {
+            Ok(ReadEnd::Partial) => {
                 count("out-of-time");
                 response_body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
             }
@@ -107,14 +107,22 @@
         let (parts, body) = response.into_parts();
         let mut held = self.shared.held_bytes.empty(byte_budget::Kind::Response);
         let mut reading = Reading { buffer: Vec::new(), body };
-        let end = reading.read_counted(&mut held, stall).await.map_err(failure)?;
+        let end = reading.read_counted(&mut held, stall).await;
         let Reading { buffer, body } = reading;
         let held = held_body::HeldBody::new(buffer, held);
         let body = match end {
-            ReadEnd::Complete => response_body::ResponseBody::Held(held),
-            ReadEnd::OutOfTime | ReadEnd::OutOfRoom => {
+            Ok(ReadEnd::Complete) => {
+                count("whole");
+                response_body::ResponseBody::Held(held)
+            }
+            Ok(ReadEnd::Partial) => {
+                count("no-room");
                 response_body::ResponseBody::Begun(held, Box::new(self.read_ahead(body)))
             }
+            Err(error) => {
+                count("broken");
+                return Err(failure(error));
+            }
         };
         Ok(http::Response::from_parts(parts, body))
     }
@@ -135,8 +143,8 @@
 /// Why reading a body ended without an error.
 enum ReadEnd {
     Complete,
-    OutOfTime,
-    OutOfRoom,
+    /// The time was over, or the byte budget had no room, before the end of the body.
+    Partial,
 }
 
 impl<C: clock::Clock> Reading<C> {
@@ -149,7 +157,7 @@
     ) -> Result<ReadEnd, body_error::BodyError> {
         match tokio::time::timeout_at(until.into(), self.read_all(size, stall)).await {
             Ok(result) => result,
-            Err(_) => Ok(ReadEnd::OutOfTime),
+            Err(_) => Ok(ReadEnd::Partial),
         }
     }
 
@@ -181,7 +189,7 @@
             }
             self.buffer.extend_from_slice(&data);
             if !has_room {
-                return Ok(ReadEnd::OutOfRoom);
+                return Ok(ReadEnd::Partial);
             }
         }
         Ok(ReadEnd::Complete)
@@ -210,7 +218,7 @@
     }
 }
 
-/// Counts a response of known length by what became of holding it.
+/// Counts a response by what became of holding it.
 fn count(result: &'static str) {
     metrics::counter!("lynxmast_responses_held_total", "result" => result).increment(1);
 }
