Take an HTTP/2 body for complete only if its sender has ended the stream

What backend servers saw: a part of an upload as the whole body, if its caller resets the HTTP/2 stream without an error. A response that a peer ended so would have looked complete to callers; our daemons do not send that.

Cause: the HTTP implementation takes such a reset for the end of the body.

--- a/crates/transport/src/body_error/tests.rs
+++ b/crates/transport/src/body_error/tests.rs
@@ -82,3 +82,91 @@
     stop.cancel();
     serving.await.expect("the server ends");
 }
+
+/// How a peer ends a response that is not complete.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    /// As a server whose pings were not answered.
+    Shutdown,
+    Reset(h2::Reason),
+    Drop,
+}
+
+/// Guards against a part of a response that looks complete as its peer ends the connection or the stream.
+#[test_case(End::Shutdown; "shutdown")]
+#[test_case(End::Reset(h2::Reason::CANCEL); "reset")]
+#[test_case(End::Reset(h2::Reason::NO_ERROR); "reset without an error")]
+#[test_case(End::Drop; "dropped")]
+#[tokio::test]
+async fn a_response_that_its_peer_leaves_is_truncated(end: End) {
+    let listener = tcp::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (ends, ended) = tokio::sync::oneshot::channel::<()>();
+    let serving = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut connection = h2::server::handshake(stream).await.expect("an HTTP/2 connection");
+        let (_, mut respond) = connection.accept().await.expect("a request").expect("a request");
+        let mut body = respond.send_response(http::Response::new(()), false).expect("a head");
+        body.send_data(Bytes::from_static(b"begun"), false).expect("a part");
+        let mut ended = std::pin::pin!(ended);
+        tokio::select! {
+            _ = connection.accept() => {}
+            _ = &mut ended => {}
+        }
+        match end {
+            End::Shutdown => connection.abrupt_shutdown(h2::Reason::NO_ERROR),
+            End::Reset(reason) => body.send_reset(reason),
+            End::Drop => return,
+        }
+        let _ = tokio::time::timeout(PAUSE, connection.accept()).await;
+    });
+    let stream = tcp::TcpStream::connect(address).await.expect("a connection");
+    let (mut sender, connection) =
+        http2::handshake(rt::TokioExecutor::new(), rt::TokioIo::new(stream))
+            .await
+            .expect("an HTTP/2 connection");
+    tokio::spawn(connection);
+    let request = http::Request::get("http://peer/").body(Empty::<Bytes>::new());
+    let response = sender.send_request(request.expect("a request")).await.expect("a response");
+    let timer = stall_timeout::StallTimer::new(time::Duration::from_secs(10));
+    let mut body = stall_timeout::StallTimeoutBody::new(response.into_body(), timer);
+    assert!(body.frame().await.is_some_and(|frame| frame.is_ok()), "the part");
+    ends.send(()).expect("the server waits");
+    let rest = body.frame().await.map(|frame| frame.map(|_| "a frame"));
+    assert_eq!(rest, Some(Err(BodyError::Truncated)));
+    serving.await.expect("the server ends");
+}
+
+/// Guards against a complete response being reported as truncated: a server that has answered resets the
+/// stream without an error if it does not read the rest of the request.
+#[tokio::test]
+async fn a_response_beside_an_unread_upload_is_complete() {
+    let listener = tcp::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let serving = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut connection = h2::server::handshake(stream).await.expect("an HTTP/2 connection");
+        let accepted = connection.accept().await.expect("a request").expect("a request");
+        let (request, mut respond) = accepted;
+        let mut body = respond.send_response(http::Response::new(()), false).expect("a head");
+        body.send_data(Bytes::from_static(b"whole"), true).expect("the body");
+        drop((request, respond, body));
+        let _ = tokio::time::timeout(PAUSE, connection.accept()).await;
+    });
+    let stream = tcp::TcpStream::connect(address).await.expect("a connection");
+    let (mut sender, connection) =
+        http2::handshake(rt::TokioExecutor::new(), rt::TokioIo::new(stream))
+            .await
+            .expect("an HTTP/2 connection");
+    tokio::spawn(connection);
+    let upload: Frames = stream::pending().boxed();
+    let request = http::Request::post("http://peer/").body(StreamBody::new(upload));
+    let response = sender.send_request(request.expect("a request")).await.expect("a response");
+    // The reset arrives before the body is read.
+    tokio::time::sleep(PAUSE).await;
+    let timer = stall_timeout::StallTimer::new(time::Duration::from_secs(10));
+    let body = stall_timeout::StallTimeoutBody::new(response.into_body(), timer);
+    let received = body.collect().await.map(http_body_util::Collected::to_bytes);
+    assert_eq!(received, Ok(Bytes::from_static(b"whole")));
+    serving.await.expect("the server ends");
+}
--- a/crates/transport/src/ingress.rs
+++ b/crates/transport/src/ingress.rs
@@ -342,7 +342,9 @@
         request: http::Request<Incoming>,
         _: net::SocketAddr,
     ) -> http::Response<Self::Body> {
-        self.serve_caller(request.map(incoming_body::IncomingBody::Streamed)).await
+        let version = request.version();
+        let body = |incoming| incoming_body::IncomingBody::new(incoming, version);
+        self.serve_caller(request.map(body)).await
     }
 }
 
--- a/crates/transport/src/stall_timeout.rs
+++ b/crates/transport/src/stall_timeout.rs
@@ -10,6 +10,7 @@
 use hyper::body;
 
 use crate::body_error;
+use crate::incoming_body;
 
 /// Timer that runs while a body is pending.
 #[derive(Debug)]
@@ -54,7 +55,7 @@
     }
 }
 
-/// A body from a peer under a [`StallTimer`].
+/// A body of an HTTP/2 stream from a peer under a [`StallTimer`].
 #[derive(Debug)]
 pub struct StallTimeoutBody {
     inner: body::Incoming,
@@ -76,11 +77,9 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> body_error::PolledFrame {
-        match pin::Pin::new(&mut self.inner).poll_frame(cx) {
+        match incoming_body::poll_stream(&mut self.inner, cx) {
             task::Poll::Ready(frame) => {
                 self.timer.reset();
-                let frame =
-                    frame.map(|f| f.map_err(|error| body_error::BodyError::from_peer(&error)));
                 task::Poll::Ready(frame)
             }
             task::Poll::Pending => {
