--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -5,6 +5,9 @@
 /// What was seen: `Err` if the rule is broken.
 pub type Verdict = Result<String, String>;
 
+/// Bytes of the kernel's receive buffer of servers.
+const BUFFER: i32 = 64 * 1024;
+
 /// Terms of the small deployments (`strapline-pk`).
 fn small() -> Terms {
     Terms { heartbeat: "1500ms", grace: "6s", memory_mb: 260 }
@@ -41,16 +44,32 @@
     )
 }
 
-/// Sends an upload on a new connection, records its end and returns the status of the answer.
-fn upload(case: &Case, daemon: &Daemon, id: &str, limit_ms: u64, size: usize) -> Option<u16> {
+/// Sends an upload on a new connection, records its end and returns the status of the answer. The
+/// connection is closed `kept` after the answer.
+fn upload_kept(
+    case: &Case,
+    daemon: &Daemon,
+    id: &str,
+    limit_ms: u64,
+    size: usize,
+    kept: Duration,
+) -> Option<u16> {
     case.record.add(format!("caller at {} sends {id}, an upload of {size} bytes", daemon.name));
-    let head = request("POST", "/up/x", id, limit_ms, size);
-    let body = vec![b'u'; size];
-    match exchange(daemon.outbound, &head, &body, ms(limit_ms + 1000)) {
-        Ok((head, body)) => {
-            let stamp = head.get("x-response-stamp").unwrap_or("none");
-            let (status, length) = (head.status(), body.len());
+    let exchange = || {
+        let mut wire = Wire::connect(daemon.outbound)?;
+        wire.stream.set_read_timeout(Some(ms(limit_ms + 1000)))?;
+        wire.send(request("POST", "/up/x", id, limit_ms, size).as_bytes())?;
+        wire.send(&vec![b'u'; size])?;
+        let head = wire.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let body = wire.body(&head, true)?;
+        Ok::<(Wire, Head, usize), io::Error>((wire, head, body.len()))
+    };
+    match exchange() {
+        Ok((wire, head, length)) => {
+            let (status, stamp) = (head.status(), head.get("x-response-stamp").unwrap_or("none"));
             case.record.add(format!("caller gets {status} for {id}, {length} bytes, stamp {stamp}"));
+            thread::sleep(kept);
+            drop(wire);
             Some(status)
         }
         Err(error) => {
@@ -60,11 +79,17 @@
     }
 }
 
+/// Sends an upload on a connection that is closed after its answer.
+fn upload(case: &Case, daemon: &Daemon, id: &str, limit_ms: u64, size: usize) -> Option<u16> {
+    upload_kept(case, daemon, id, limit_ms, size, Duration::ZERO)
+}
+
 pub fn run(name: &str, case: &Case) -> Verdict {
     match name {
         "case-11" => late_after_drain(case),
         "case-12" => unread_upload(case),
         "case-13" => unread_download(case),
+        "case-14" => unsent_at_shutdown(case),
         _ => cannot_run("no such case"),
     }
 }
@@ -106,7 +131,7 @@
     let behaviour: Arc<Behaviour> = Arc::new(behaviour);
     let servers: Vec<Arc<Server>> = daemons
         .iter()
-        .map(|daemon| Server::start(daemon, "media", 4, &case.record, behaviour.clone()))
+        .map(|daemon| Server::start(daemon, "media", 4, BUFFER, &case.record, behaviour.clone()))
         .collect();
     daemons.iter().for_each(|daemon| daemon.await_ready(ms(15_000)));
     thread::sleep(ms(2000));
@@ -117,7 +142,9 @@
     let (mut ack, mut leaving) = (0, servers[0].clone());
     thread::scope(|scope| {
         let daemon = &daemons[0];
-        let mut callers = vec![scope.spawn(move || upload(case, daemon, "long", 8000, 360_000))];
+        let mut callers = vec![scope.spawn(move || {
+            upload_kept(case, daemon, "long", 8000, 360_000, ms(5000))
+        })];
         thread::sleep(ms(300));
         for index in 0..8 {
             let id = format!("short-{index}");
@@ -157,6 +184,7 @@
 /// A server is slow to read the bodies of uploads, while the daemon that took them gets SIGTERM.
 fn unread_upload(case: &Case) -> Verdict {
     const UPLOADS: usize = 4;
+    const BUFFER: i32 = 16 * 1024;
     let config = configuration(7, &[("/up/", "upload", "8000ms", "media")], &["media"]);
     case.store.put("keyed.op", "config", config.as_bytes());
     let daemons: Vec<Daemon> = (1..=2)
@@ -187,7 +215,7 @@
     let behaviour: Arc<Behaviour> = Arc::new(behaviour);
     let servers: Vec<Arc<Server>> = daemons
         .iter()
-        .map(|daemon| Server::start(daemon, "media", 4, &case.record, behaviour.clone()))
+        .map(|daemon| Server::start(daemon, "media", 4, BUFFER, &case.record, behaviour.clone()))
         .collect();
     daemons.iter().for_each(|daemon| daemon.await_ready(ms(15_000)));
     thread::sleep(ms(2000));
@@ -198,7 +226,7 @@
         let callers: Vec<_> = (0..UPLOADS)
             .map(|index| {
                 let id = format!("upload-{index}");
-                scope.spawn(move || upload(case, daemon, &id, 8000, 30_000))
+                scope.spawn(move || upload(case, daemon, &id, 8000, 60_000))
             })
             .collect();
         thread::sleep(ms(1500));
@@ -239,7 +267,7 @@
     let behaviour: Arc<Behaviour> = Arc::new(behaviour);
     let servers: Vec<Arc<Server>> = daemons
         .iter()
-        .map(|daemon| Server::start(daemon, "data", 9, &case.record, behaviour.clone()))
+        .map(|daemon| Server::start(daemon, "data", 9, BUFFER, &case.record, behaviour.clone()))
         .collect();
     daemons.iter().for_each(|daemon| daemon.await_ready(ms(15_000)));
     thread::sleep(ms(2000));
@@ -286,3 +314,89 @@
     record.add(format!("caller has read of {id}: {result:?}"));
     result.unwrap_or(0)
 }
+
+/// A server answers long requests before it has read them, keeps the connections and reads on later.
+/// The daemon beside it gets SIGTERM meanwhile.
+fn unsent_at_shutdown(case: &Case) -> Verdict {
+    const SHORT: usize = 8;
+    const LONG: usize = 360_000;
+    /// Pieces in which the rest of a long request is read, 0.4 s apart.
+    const PIECES: usize = 18;
+    let config = configuration(7, &[("/up/", "upload", "8000ms", "media")], &["media"]);
+    case.store.put("keyed.op", "config", config.as_bytes());
+    let daemons: Vec<Daemon> = (1..=2)
+        .map(|index| Daemon::new(&case.folder, index, "media", case.store.address, &small()))
+        .collect();
+    daemons.iter().for_each(Daemon::start);
+    let early = case.trouble;
+    let arrivals: Arc<Mutex<Vec<String>>> = Arc::default();
+    let seen = arrivals.clone();
+    let behaviour = move |server: &Server, wire: &mut Wire, head: &Head| {
+        let id = head.get("x-attempt-id").unwrap_or("-").to_string();
+        server.record.add(format!("{id} reaches server {}", server.id));
+        seen.lock().unwrap().push(id.clone());
+        let stamp = server.stamp(&id);
+        if early && id.starts_with("long") {
+            server.reply(wire, head, 200, &stamp, b"known already")?;
+            server.record.add(format!("server {} answers {id} before it has read it", server.id));
+            for _ in 0..PIECES {
+                thread::sleep(ms(400));
+                wire.exact(LONG / PIECES)?;
+            }
+            server.record.add(format!("server {} has read the rest of {id}", server.id));
+            return Ok(true);
+        }
+        wire.body(head, false)?;
+        thread::sleep(ms(250));
+        server.reply(wire, head, 200, &stamp, b"stored")?;
+        server.record.add(format!("server {} has run {id}", server.id));
+        Ok(true)
+    };
+    let behaviour: Arc<Behaviour> = Arc::new(behaviour);
+    let servers: Vec<Arc<Server>> = daemons
+        .iter()
+        .map(|daemon| Server::start(daemon, "media", 4, BUFFER, &case.record, behaviour.clone()))
+        .collect();
+    daemons.iter().for_each(|daemon| daemon.await_ready(ms(15_000)));
+    thread::sleep(ms(2000));
+    let _running = servers;
+    for index in 0..6 {
+        upload(case, &daemons[0], &format!("first-{index}"), 8000, 1000);
+    }
+    let mut answers = Vec::new();
+    thread::scope(|scope| {
+        let daemon = &daemons[0];
+        for index in 0..2 {
+            let id = format!("long-{index}");
+            scope.spawn(move || upload_kept(case, daemon, &id, 8000, LONG, ms(9000)));
+        }
+        thread::sleep(ms(300));
+        let callers: Vec<_> = (0..SHORT)
+            .map(|index| {
+                let id = format!("short-{index}");
+                thread::sleep(ms(20));
+                (id.clone(), scope.spawn(move || upload(case, daemon, &id, 8000, 1000)))
+            })
+            .collect();
+        thread::sleep(ms(200));
+        daemon.signal("TERM");
+        case.record.add(format!("{} gets SIGTERM", daemon.name));
+        answers = callers
+            .into_iter()
+            .map(|(id, caller)| (id, caller.join().unwrap_or(None)))
+            .collect::<Vec<(String, Option<u16>)>>();
+    });
+    let arrivals = arrivals.lock().unwrap();
+    let lost: Vec<String> = answers
+        .iter()
+        .filter(|(_, answer)| answer.is_none())
+        .map(|(id, _)| {
+            let reached = if arrivals.contains(id) { "was sent" } else { "was never sent" };
+            format!("{id}, which {reached} to a server")
+        })
+        .collect();
+    match lost.is_empty() {
+        true => Ok(format!("all {SHORT} short uploads were answered")),
+        false => Err(format!("LOST: no answer for {}", lost.join("; "))),
+    }
+}
--- a/review/rig-3/rig.rs
+++ b/review/rig-3/rig.rs
@@ -537,16 +537,18 @@
 }
 
 impl Server {
-    /// Starts a server of `service` beside `daemon`.
+    /// Starts a server of `service` beside `daemon`, whose connections have a kernel buffer of
+    /// `receive_buffer` bytes.
     pub fn start(
         daemon: &Daemon,
         service: &str,
         capacity: u32,
+        receive_buffer: i32,
         record: &Arc<Record>,
         behaviour: Arc<Behaviour>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        set_receive_buffer(&listener, 4096);
+        set_receive_buffer(&listener, receive_buffer);
         let server = Arc::new(Self {
             id: format!("i-{:08x}", listener.local_addr().unwrap().port()),
             service: service.into(),
