Send the signals of the third review's cases without a program of the system

Cause: the driver called the program kill, which a small machine may lack. Change: the driver calls the system's function; what no case uses any more is removed.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -53,7 +53,8 @@
         Ok((head, body)) => {
             let stamp = head.get("x-response-stamp").unwrap_or("none");
             let (status, length) = (head.status(), body.len());
-            case.record.add(format!("caller gets {status} for {id}, {length} bytes, stamp {stamp}"));
+            case.record
+                .add(format!("caller gets {status} for {id}, {length} bytes, stamp {stamp}"));
             Some(status)
         }
         Err(error) => {
@@ -224,7 +225,7 @@
             })
             .collect();
         thread::sleep(ms(1500));
-        daemon.signal("TERM");
+        daemon.signal(SIGTERM);
         case.record.add(format!("{} gets SIGTERM", daemon.name));
         answers = callers.into_iter().map(|caller| caller.join().unwrap_or(None)).collect();
     });
@@ -267,7 +268,7 @@
     thread::sleep(ms(2000));
     let _running = servers;
     let daemon = &daemons[0];
-    daemon.signal("HUP");
+    daemon.signal(SIGHUP);
     case.record.add(format!("{} gets SIGHUP", daemon.name));
     let pause = if case.trouble { ms(6500) } else { ms(0) };
     let mut answers = Vec::new();
--- a/review/rig-3/rig.rs
+++ b/review/rig-3/rig.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,6 +16,7 @@
 mod cases;
 
 extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -229,7 +230,8 @@
     const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for index in 0..4 {
             let digit = ALPHABET[(word >> (18 - 6 * index) & 63) as usize];
             text.push(if index <= chunk.len() { digit as char } else { '=' });
@@ -302,7 +304,8 @@
                 if let (Some(producer), Some(epoch)) =
                     (query(target, "producer"), query(target, "epoch").and_then(|e| e.parse().ok()))
                 {
-                    let sequence = query(target, "sequence").and_then(|s| s.parse().ok()).unwrap_or(0);
+                    let sequence =
+                        query(target, "sequence").and_then(|s| s.parse().ok()).unwrap_or(0);
                     let known = topics.epochs.get(&(topic.clone(), producer.clone())).copied();
                     match known {
                         Some((old, _)) if epoch < old => {
@@ -311,8 +314,17 @@
                         Some((old, last)) if epoch == old && sequence != last + 1 => {
                             let end = topics.topics.get(&topic).map_or(0, Vec::len);
                             return match sequence == last {
-                                true => (200, json, format!(r#"{{"offset":{},"end_offset":{end}}}"#, end - 1).into()),
-                                false => (409, json, format!(r#"{{"why":"seq","sequence":{}}}"#, last + 1).into()),
+                                true => (
+                                    200,
+                                    json,
+                                    format!(r#"{{"offset":{},"end_offset":{end}}}"#, end - 1)
+                                        .into(),
+                                ),
+                                false => (
+                                    409,
+                                    json,
+                                    format!(r#"{{"why":"seq","sequence":{}}}"#, last + 1).into(),
+                                ),
                             };
                         }
                         _ => {}
@@ -347,7 +359,10 @@
                 let items: Vec<String> = newest
                     .iter()
                     .map(|(key, (offset, value))| {
-                        format!(r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#, base64(value))
+                        format!(
+                            r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#,
+                            base64(value)
+                        )
                     })
                     .collect();
                 let text = format!(
@@ -461,18 +476,12 @@
         *self.child.lock().unwrap() = Some(child);
     }
 
-    pub fn signal(&self, name: &str) {
+    pub fn signal(&self, signal: i32) {
         if let Some(child) = &*self.child.lock().unwrap() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            unsafe { kill(child.id() as i32, signal) };
         }
     }
 
-    /// Returns whether the process has not ended by itself.
-    pub fn is_running(&self) -> bool {
-        let mut child = self.child.lock().unwrap();
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
@@ -482,7 +491,8 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let head = format!("GET /ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let head =
+            format!("GET /ready HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
         exchange(self.ready, &head, b"", ms(500)).is_ok_and(|(head, _)| head.status() == 200)
     }
 
@@ -503,6 +513,10 @@
     }
 }
 
+pub const SIGHUP: i32 = 1;
+const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+
 /// Processes that were started and have not been awaited.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -510,7 +524,7 @@
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("cannot run: {reason}");
     for id in CHILDREN.lock().unwrap_or_else(|error| error.into_inner()).iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        unsafe { kill(*id as i32, SIGKILL) };
     }
     std::process::exit(2)
 }
@@ -532,10 +546,6 @@
     sequence: AtomicU64,
     /// Whether it still sends heartbeats as ready.
     pub beats: AtomicBool,
-    /// Whether it has ended.
-    pub is_gone: AtomicBool,
-    /// Connections that are open, to be cut at its end.
-    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Server {
@@ -561,18 +571,10 @@
             born: wall_ms(),
             sequence: AtomicU64::new(1),
             beats: AtomicBool::new(true),
-            is_gone: AtomicBool::new(false),
-            open: Mutex::default(),
         });
         let accepting = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if accepting.is_gone.load(Ordering::SeqCst) {
-                    return;
-                }
-                if let Ok(copy) = stream.try_clone() {
-                    accepting.open.lock().unwrap().push(copy);
-                }
                 let (server, behaviour) = (accepting.clone(), behaviour.clone());
                 thread::spawn(move || {
                     let _ = server.serve(Wire::new(stream), &*behaviour);
@@ -592,7 +594,10 @@
     fn serve(&self, mut wire: Wire, behaviour: &Behaviour) -> io::Result<()> {
         while let Some(head) = wire.head()? {
             if head.target() == "/healthz" {
-                let text = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
                 wire.send(text.as_bytes())?;
                 continue;
             }
@@ -610,7 +615,14 @@
     }
 
     /// Sends a response with the id of the request.
-    pub fn reply(&self, wire: &mut Wire, request: &Head, status: u16, more: &str, body: &[u8]) -> io::Result<()> {
+    pub fn reply(
+        &self,
+        wire: &mut Wire,
+        request: &Head,
+        status: u16,
+        more: &str,
+        body: &[u8],
+    ) -> io::Result<()> {
         let id = request.get("x-attempt-id").unwrap_or("-");
         let text = format!(
             "HTTP/1.1 {status} X\r\nX-Attempt-Id: {id}\r\n{more}Content-Length: {}\r\n\r\n",
@@ -640,10 +652,6 @@
         )
     }
 
-    pub fn delete(&self) -> io::Result<u16> {
-        self.call("DELETE", "")
-    }
-
     /// Calls the daemon beside the server.
     pub fn call(&self, method: &str, body: &str) -> io::Result<u16> {
         let head = format!(
@@ -653,30 +661,6 @@
         let (head, _) = exchange(self.control, &head, body.as_bytes(), ms(1000))?;
         Ok(head.status())
     }
-
-    /// Reports that it leaves until that is acknowledged; returns when it was, in ms of the record.
-    pub fn drain(&self) -> u128 {
-        self.beats.store(false, Ordering::SeqCst);
-        loop {
-            self.record.add(format!("server {} reports draining", self.id));
-            if let Ok(200) = self.beat("draining") {
-                self.record.add(format!("server {} has the ack of its draining", self.id));
-                return self.record.ms();
-            }
-            thread::sleep(ms(200));
-        }
-    }
-
-    /// Ends the server: its connections are reset.
-    pub fn end(&self) {
-        self.is_gone.store(true, Ordering::SeqCst);
-        self.beats.store(false, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        let _ = TcpStream::connect_timeout(&self.address, ms(200));
-        self.record.add(format!("server {} has ended", self.id));
-    }
 }
 
 // ---------------------------------------------------------------- main
