Acknowledge a departure only on what this process has stored

Its daemon was killed before it could store the departure; the next process learned it from its peers and acknowledged the repeated report, although no registry had it. When all daemons were killed, a late heartbeat brought the backend server back.

Cause: the departures were in the membership record, and two numbers beside it said how many had been recorded and stored. What came from peers was not counted, and a report of a known departure was not either. `state::departures` now holds what is known and what is stored, as sets, and is the only way from a report, a peer's record, a lookup or a write to an acknowledgement. A departure from a peer's record is written like a reported one.

Price: one append per departure as before, and one for a report that is repeated after a restart (none before); no append at a restart without reports.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use lynxmast_state::clock;
+use lynxmast_state::departures::lookup;
 use lynxmast_state::ids;
 use lynxmast_state::member;
 use lynxmast_state::revision;
@@ -28,7 +29,7 @@
         /// Backend servers on the daemon's VM whose departures it has acknowledged, or is about to.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         pub departed: Vec<member::Departure>,
-        /// Epoch of the registry known to the daemon when it registered. 0 if unknown, and while the
+        /// Newest epoch of the registry known to the daemon when it registered, at least 1. 0 if the
         /// registration may lack departures that an earlier process has acknowledged.
         #[serde(default)]
         pub epoch: ids::SourceEpoch,
@@ -38,13 +39,6 @@
     }
 }
 
-impl Registration {
-    /// Returns whether the registry has what `newer` is to tell it. Its epoch is not worth a call.
-    fn covers(&self, newer: &Registration) -> bool {
-        self.control == newer.control && newer.departed.iter().all(|d| self.departed.contains(d))
-    }
-}
-
 /// Contents of the registry.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Directory {
@@ -93,7 +87,7 @@
     /// Seeds to update.
     pub seeds: Seeds,
     /// Departures to store.
-    pub departures: sync::Arc<departure_tracker::DepartureTracker>,
+    pub departures: sync::Arc<departure_tracker::DepartureTracker<C>>,
     /// Revisions of the registrations.
     pub revisions: revision::Revisions,
 }
@@ -112,8 +106,6 @@
 /// Time over which the daemons spread their calls after a restore of the registry, which limits the
 /// calls that it accepts per second.
 const RESTORE_SPREAD: time::Duration = time::Duration::from_millis(1500);
-/// Epoch of a registry that has never been restored.
-const EPOCH_FIRST: ids::SourceEpoch = 1;
 
 impl<C: clock::Clock, D: Discovery> Bootstrap<C, D> {
     /// Looks up seeds, learns what earlier processes of the daemon have registered, and registers this
@@ -205,6 +197,7 @@
         &mut self,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
         let directory = self.refresh_seeds().await?;
+        self.learn_departures(&directory);
         self.complete_registration(&directory).await
     }
 
@@ -221,27 +214,21 @@
         Ok(epoch)
     }
 
-    /// Takes over the departures in the daemon's registration. They are all that were acknowledged if the
-    /// registry was not restored from an older copy since, in which case its epoch would be newer.
+    /// Takes over the departures in the daemon's registration.
     fn learn_departures(&self, directory: &Directory) {
-        let found = self.find_own(directory);
-        let is_complete = match found {
-            Some(found) => found.epoch >= directory.epoch,
-            None => directory.epoch <= EPOCH_FIRST,
+        let found = match self.find_own(directory) {
+            Some(found) => lookup::Lookup::Found(lookup::Held {
+                departed: found.departed.clone(),
+                epoch: found.epoch,
+            }),
+            None => lookup::Lookup::Absent,
         };
-        let departed = found.into_iter().flat_map(|found| &found.departed);
-        let mut membership = self.shared.membership();
-        for departure in departed {
-            let _ = membership.record_departure(departure.clone());
-        }
-        drop(membership);
-        if is_complete {
-            self.departures.mark_known();
-        } else {
+        self.departures.learn_registered(&found, directory.epoch);
+        if !self.departures.is_known() {
             log::warn!(
                 event = "directory",
                 epoch = directory.epoch;
-                "the registration may lack departures since a restore"
+                "the registration may lack departures of earlier processes"
             );
         }
     }
@@ -252,31 +239,31 @@
         &mut self,
         directory: &Directory,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
-        let recorded = self.departures.recorded();
-        let wanted = self.own_registration(directory.epoch);
-        if self.find_own(directory).is_some_and(|found| found.covers(&wanted)) {
-            self.departures.mark_stored(recorded);
+        let control = self.shared.membership().own_record().control;
+        let is_registered = self.find_own(directory).is_some_and(|found| found.control == control);
+        if is_registered && !self.departures.has_unstored() {
             return Ok(directory.epoch);
         }
         self.register(directory.epoch).await
     }
 
     /// Registers the daemon with its departures, in a registry of at least `epoch`. Returns the epoch of
-    /// the registry that holds the registration.
+    /// the registry that holds the registration; 0 if it does not state any.
     async fn register(
         &mut self,
         epoch: ids::SourceEpoch,
     ) -> Result<ids::SourceEpoch, platform_log::PlatformError> {
-        // Departures that are counted here are in the membership record that is read next.
-        let recorded = self.departures.recorded();
+        let written = self.departures.begin_write(epoch);
         let revision = self.revisions.next(self.shared.clock.wall());
-        let registration = Registration { revision, ..self.own_registration(epoch) };
+        let registration = self.registration(&written, revision);
         let registered = self.discovery.register(&registration).await;
         if registered == Err(platform_log::PlatformError::Outdated) {
             self.revisions.skip();
         }
         let epoch = registered?;
-        self.departures.mark_stored(recorded);
+        if !self.departures.confirm_write(written, epoch) {
+            return Err(platform_log::PlatformError::Restored);
+        }
         log::info!(
             event = "directory",
             departed = registration.departed.len(),
@@ -286,14 +273,16 @@
         Ok(epoch)
     }
 
-    /// Returns the daemon's registration for a registry of at least `epoch`, without a revision.
-    fn own_registration(&self, epoch: ids::SourceEpoch) -> Registration {
+    fn registration(&self, written: &lookup::Held, revision: revision::Revision) -> Registration {
         let membership = self.shared.membership();
-        let newest = epoch.max(membership.source_epoch());
-        let epoch = if self.departures.is_known() { newest } else { 0 };
         let own = membership.own_record();
-        let (daemon, departed) = (own.daemon.clone(), own.departed.clone());
-        Registration { daemon, control: own.control, departed, epoch, revision: 0 }
+        Registration {
+            daemon: own.daemon.clone(),
+            control: own.control,
+            departed: written.departed.clone(),
+            epoch: membership.departures().registration_epoch(written.epoch),
+            revision,
+        }
     }
 
     fn find_own<'a>(&self, directory: &'a Directory) -> Option<&'a Registration> {
--- a/crates/state/src/departure_history.rs
+++ b/crates/state/src/departures/history.rs
@@ -13,17 +13,17 @@
 /// # Examples
 ///
 /// ```
-/// use lynxmast_state::departure_history;
+/// use lynxmast_state::departures::history;
 /// use std::time::{Duration, Instant, UNIX_EPOCH};
 ///
 /// let (now, wall) = (Instant::now(), UNIX_EPOCH + Duration::from_millis(50_000));
-/// let history = departure_history::DepartureHistory::new(now, wall, Duration::from_secs(6));
+/// let history = history::History::new(now, wall, Duration::from_secs(6));
 /// assert_eq!(history.wait(20_000, now), Duration::from_secs(6));
 /// assert_eq!(history.wait(20_000, now + Duration::from_secs(6)), Duration::ZERO);
 /// assert_eq!(history.wait(50_000, now), Duration::ZERO);
 /// ```
 #[derive(Debug, Clone, Copy)]
-pub struct DepartureHistory {
+pub struct History {
     started: time::Instant,
     /// Start in milliseconds since the Unix epoch.
     started_ms: u64,
@@ -35,7 +35,7 @@
 /// cannot have departed from an earlier process: it would have had to register there first.
 const STARTED_TOGETHER_MS: u64 = 1000;
 
-impl DepartureHistory {
+impl History {
     /// Returns the history of a process that has started at `started`, which is `wall` in wall-clock
     /// time. Heartbeats arrive at most `delay_max` after they were sent.
     pub fn new(started: time::Instant, wall: time::SystemTime, delay_max: time::Duration) -> Self {
--- a/crates/state/src/departure_history/tests.rs
+++ b/crates/state/src/departures/history/tests.rs
@@ -23,7 +23,7 @@
 ) {
     let started = time::Instant::now();
     let wall = time::UNIX_EPOCH + time::Duration::from_millis(STARTED_MS);
-    let history = DepartureHistory::new(started, wall, DELAY_MAX);
+    let history = History::new(started, wall, DELAY_MAX);
     let now = started + time::Duration::from_millis(elapsed_ms);
     assert_eq!(history.wait(incarnation, now), time::Duration::from_millis(expected_ms));
     assert_eq!(history.is_over(now), elapsed_ms >= DELAY_MAX.as_millis() as u64);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod byte_budget;
 pub mod clock;
 pub mod concurrency_limit;
-pub mod departure_history;
+pub mod departures;
 pub mod drain_time;
 pub mod event;
 pub mod fair_queue;
--- a/crates/state/src/member.rs
+++ b/crates/state/src/member.rs
@@ -38,8 +38,8 @@
         /// Newest epoch of the policy source known to the daemon.
         #[serde(default)]
         pub source_epoch: ids::SourceEpoch,
-        /// Backend servers on the daemon's VM that left last. The daemon's next process learns them
-        /// from its peers, and from the registry outside the fleet if there is one.
+        /// Backend servers on the daemon's VM that left last, see [`crate::departures`]. The daemon's next
+        /// process learns them from its peers, and from the registry outside the fleet if there is one.
         #[serde(default)]
         pub departed: Vec<Departure>,
     }
--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -12,6 +12,7 @@
 
 use indexmap::IndexMap;
 
+use crate::departures;
 use crate::ids;
 use crate::member;
 use crate::router;
@@ -28,6 +29,8 @@
 #[derive(Debug)]
 pub struct Membership {
     own_record: member::Record,
+    /// Departures of backend servers on this daemon's VM; the published ones are in its record.
+    departures: departures::Departures,
     peers: IndexMap<ids::DaemonName, Peer>,
     /// Daemons whose records are still to be gossiped, with the number of times left to send each.
     pending: IndexMap<ids::DaemonName, u32>,
@@ -66,8 +69,6 @@
 pub const TICKS_PER_HEARTBEAT: u32 = 20;
 /// Number of ticks after a new policy version or source epoch with an urgent round.
 const NEWS_URGENT_TICKS: u32 = 4;
-/// Maximum number of departed backend servers in a daemon's record; a VM runs few.
-const DEPARTED_MAX: usize = 16;
 /// Time without a heartbeat after which a daemon's record is removed. The record of a daemon that
 /// announced its shutdown is kept for the same time.
 pub const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(120);
@@ -78,6 +79,7 @@
         let own_name = own_record.daemon.clone();
         let mut membership = Self {
             own_record,
+            departures: departures::Departures::new(None),
             peers: IndexMap::new(),
             pending: IndexMap::new(),
             digest_cursor: 0,
@@ -138,27 +140,24 @@
         self.mark_pending(self.own_record.daemon.clone());
     }
 
-    /// Records that a backend server on this daemon's VM has left, in this incarnation and all earlier
-    /// ones. Returns whether this is new.
-    pub fn record_departure(&mut self, departure: member::Departure) -> bool {
-        if self.has_departed(&departure.instance, departure.incarnation) {
-            return false;
-        }
-        self.update_own_record(|own| {
-            own.departed.retain(|known| known.instance != departure.instance);
-            if own.departed.len() >= DEPARTED_MAX {
-                own.departed.remove(0);
-            }
-            own.departed.push(departure);
-        });
-        true
+    /// Returns the departures of backend servers on this daemon's VM.
+    pub fn departures(&self) -> &departures::Departures {
+        &self.departures
     }
 
-    /// Returns whether a backend server on this daemon's VM has left, as far as this process or an
-    /// earlier one of the daemon has recorded it.
-    pub fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
-        let mut departed = self.own_record.departed.iter();
-        departed.any(|known| &*known.instance == instance && incarnation <= known.incarnation)
+    /// Changes the departures of backend servers on this daemon's VM, given the newest known epoch of the
+    /// registry. Schedules the daemon's record for gossip if other departures are published now.
+    pub fn update_departures<R>(
+        &mut self,
+        change: impl FnOnce(&mut departures::Departures, ids::SourceEpoch) -> R,
+    ) -> R {
+        let epoch = self.source_epoch();
+        let result = change(&mut self.departures, epoch);
+        if self.own_record.departed != self.departures.published() {
+            let published = self.departures.published().to_vec();
+            self.update_own_record(|own| own.departed = published);
+        }
+        result
     }
 
     /// Marks the membership as synchronised and drops all pending updates, as if they had been
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -170,9 +170,7 @@
             self.own_record.incarnation = record.incarnation + 1;
             self.update_own_record(|_| ());
         }
-        for departure in &record.departed {
-            let _ = self.record_departure(departure.clone());
-        }
+        self.update_departures(|departures, _| departures.learn(&record.departed));
     }
 
     fn compare(&mut self, digest: &member::Digest, now: time::Instant) -> Outdated {
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -179,7 +179,8 @@
 fn a_restarted_daemon_learns_the_departures_on_its_vm(incarnation: u64, restarts: usize) {
     let now = time::Instant::now();
     let mut fleet: Vec<Membership> = (0..3).map(membership).collect();
-    fleet[0].record_departure(member::Departure { instance: "i-1".into(), incarnation: 7 });
+    let departure = member::Departure { instance: "i-1".into(), incarnation: 7 };
+    fleet[0].update_departures(|departures, epoch| departures.record(departure, epoch));
     gossip(&mut fleet, 3, now);
     for restart in 0..restarts as u64 {
         let mut restarted = membership(0);
@@ -188,21 +189,9 @@
         exchange_as(&mut fleet, 0, 1, RoundKind::Startup, now);
         exchange(&mut fleet, 0, 2, now);
     }
-    assert!(fleet[0].has_departed("i-1", 7) && !fleet[0].has_departed("i-1", 8));
-    assert!(!fleet[0].has_departed("i-2", 7));
-}
-
-#[test]
-fn the_departures_in_a_record_are_bounded() {
-    let mut daemon = membership(0);
-    for n in 0..DEPARTED_MAX + 4 {
-        let instance = format!("i-{n}").as_str().into();
-        daemon.record_departure(member::Departure { instance, incarnation: 1 });
-        daemon
-            .record_departure(member::Departure { instance: "i-0".into(), incarnation: n as u64 });
-    }
-    assert_eq!(daemon.own_record().departed.len(), DEPARTED_MAX);
-    assert!(daemon.has_departed("i-0", DEPARTED_MAX as u64) && !daemon.has_departed("i-1", 1));
+    let departures = fleet[0].departures();
+    assert!(departures.contains("i-1", 7) && !departures.contains("i-1", 8));
+    assert!(!departures.contains("i-2", 7));
 }
 
 #[test]
--- a/crates/transport/src/sidecar.rs
+++ b/crates/transport/src/sidecar.rs
@@ -10,7 +10,6 @@
 mod attempt;
 mod bodies;
 mod calls;
-mod departed;
 pub mod departure_error;
 mod forwarding;
 
@@ -22,7 +21,7 @@
 use lynxmast_protocol::envelope;
 use lynxmast_protocol::header_scheme;
 use lynxmast_state::clock;
-use lynxmast_state::departure_history;
+use lynxmast_state::departures::history;
 use lynxmast_state::event;
 use lynxmast_state::ids;
 use lynxmast_state::outcome;
@@ -51,10 +50,8 @@
     heartbeat_interval: time::Duration,
     /// Time without a heartbeat after which a backend server counts as gone.
     lease_duration: time::Duration,
-    departed: sync::Mutex<departed::Departed>,
-    /// Progress of the departures that the daemon keeps beyond its process.
-    pub departures: sync::Arc<departure_tracker::DepartureTracker>,
-    history: departure_history::DepartureHistory,
+    /// Departures of the local backend servers.
+    pub departures: sync::Arc<departure_tracker::DepartureTracker<C>>,
     /// When a request sent from this VM last failed. It may have been the call of a local backend
     /// server to a dependency, made while serving a request; the backend server then responds with
     /// an error, which is no evidence that it is failing itself.
@@ -117,8 +114,9 @@
     pub fn new(shared: sync::Arc<shared_state::SharedState<C>>, options: BackendOptions) -> Self {
         let lease_duration = options.heartbeat_interval * HEARTBEATS_MISSED_MAX;
         let (started, wall) = (shared.now(), shared.clock.wall());
-        let history = departure_history::DepartureHistory::new(started, wall, lease_duration);
-        let departures = departure_tracker::DepartureTracker::new(options.has_registry);
+        let history = history::History::new(started, wall, lease_duration);
+        let history = options.has_registry.then_some(history);
+        let departures = departure_tracker::DepartureTracker::new(shared.clone(), history);
         Self {
             shared,
             upstreams: Default::default(),
@@ -128,9 +126,7 @@
             header_scheme: options.header_scheme,
             lease_duration,
             heartbeat_interval: options.heartbeat_interval,
-            departed: Default::default(),
             departures: sync::Arc::new(departures),
-            history,
             last_call_failure: Default::default(),
             parents: Default::default(),
             last_held_back: Default::default(),
--- a/crates/transport/src/sidecar/announcements.rs
+++ b/crates/transport/src/sidecar/announcements.rs
@@ -13,7 +13,6 @@
 use lynxmast_state::policy::service;
 
 use crate::sidecar;
-use crate::sidecar::departed;
 use crate::sidecar::departure_error;
 use crate::upstream;
 use crate::upstream::lease;
@@ -72,7 +71,7 @@
 
     fn check_departed(&self, announcement: &announce::Announcement) -> Result<(), String> {
         let Some(instance) = &announcement.instance else { return Ok(()) };
-        if self.has_departed(instance, announcement.incarnation) {
+        if self.departures.contains(instance, announcement.incarnation) {
             return Err(format!("'{instance}' has announced its departure"));
         }
         if !self.unknown_history(announcement.incarnation).is_zero() {
@@ -84,10 +83,8 @@
     /// Returns the time for which an incarnation may not be registered, as it may have departed from an
     /// earlier process of the daemon.
     fn unknown_history(&self, incarnation: ids::Incarnation) -> time::Duration {
-        match self.departures.is_known() {
-            true => time::Duration::ZERO,
-            false => self.history.wait(incarnation, self.shared.now()),
-        }
+        let now = self.shared.now();
+        self.shared.membership().departures().wait(incarnation, now)
     }
 
     /// Waits a short time for the departures that earlier processes of the daemon have acknowledged, if
@@ -103,44 +100,31 @@
             return Ok(());
         }
         self.departures.await_known(wait).await;
-        match self.history.is_over(self.shared.now()) {
+        let now = self.shared.now();
+        match self.shared.membership().departures().is_history_over(now) {
             true => Err("the heartbeat may have been sent before this process started".into()),
             false => Ok(()),
         }
     }
 
-    /// Waits a short time until the registry has all recorded departures, so that they bind the next
-    /// process of the daemon whatever happens to this one and to its peers.
+    /// Waits a short time until the registry has a departure, so that it binds the next process of the
+    /// daemon whatever happens to this one and to its peers.
     ///
     /// # Errors
     ///
-    /// Returns an error if the registry does not have them in time; they must not be acknowledged then.
-    async fn await_stored_departures(&self) -> Result<(), departure_error::DepartureError> {
-        if self.departures.await_stored(REGISTRY_WAIT_MAX).await {
+    /// Returns an error if the registry does not have it in time; it must not be acknowledged then.
+    async fn await_stored(
+        &self,
+        departure: &member::Departure,
+    ) -> Result<(), departure_error::DepartureError> {
+        let member::Departure { instance, incarnation } = departure;
+        if self.departures.await_stored(instance, *incarnation, REGISTRY_WAIT_MAX).await {
             return Ok(());
         }
         metrics::counter!("lynxmast_departures_unacknowledged_total").increment(1);
         Err(departure_error::DepartureError::NotStored)
     }
 
-    fn has_departed(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
-        self.departed().contains(instance, incarnation)
-            || self.shared.membership().has_departed(instance, incarnation)
-    }
-
-    /// Records a departure for this process, and in the membership and the registry for the next one.
-    fn record_departure(&self, instance: &ids::InstanceName, incarnation: ids::Incarnation) {
-        self.departed().record(instance, incarnation);
-        let departure = member::Departure { instance: instance.clone(), incarnation };
-        if self.shared.membership().record_departure(departure) {
-            self.departures.count();
-        }
-    }
-
-    fn departed(&self) -> sync::MutexGuard<'_, departed::Departed> {
-        self.departed.lock().unwrap_or_else(sync::PoisonError::into_inner)
-    }
-
     fn renew(
         &self,
         announcement: &announce::Announcement,
@@ -202,15 +186,22 @@
         &self,
         departure: &announce::Departure,
     ) -> Result<announce::DrainStatus, departure_error::DepartureError> {
+        let named = departure
+            .instance
+            .clone()
+            .map(|instance| member::Departure { instance, incarnation: departure.incarnation });
+        if let Some(named) = &named {
+            self.departures.record(named.clone());
+        }
         let drained = self.drain(departure);
         let status = drained.map_err(departure_error::DepartureError::Rejected)?;
-        self.await_stored_departures().await.map(|()| status)
+        if let Some(named) = &named {
+            self.await_stored(named).await?;
+        }
+        Ok(status)
     }
 
     fn drain(&self, departure: &announce::Departure) -> Result<announce::DrainStatus, String> {
-        if let Some(instance) = &departure.instance {
-            self.record_departure(instance, departure.incarnation);
-        }
         let id = ids::UpstreamId { service: departure.service.clone(), address: departure.address };
         let Some(upstream) = self.find_upstream(&id) else {
             return Ok(announce::DrainStatus { in_flight: 0 });
@@ -242,11 +233,15 @@
         instance: &ids::InstanceName,
         wall_time: time::SystemTime,
     ) -> Result<(), departure_error::DepartureError> {
-        self.drain_instance(instance, wall_time);
-        self.await_stored_departures().await
+        let departure = self.drain_instance(instance, wall_time);
+        self.await_stored(&departure).await
     }
 
-    fn drain_instance(&self, instance: &ids::InstanceName, wall_time: time::SystemTime) {
+    fn drain_instance(
+        &self,
+        instance: &ids::InstanceName,
+        wall_time: time::SystemTime,
+    ) -> member::Departure {
         let since_epoch = wall_time.duration_since(time::UNIX_EPOCH).unwrap_or_default();
         let now_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let is_named = |upstream: &sync::Arc<upstream::Upstream<C>>| {
@@ -254,7 +249,9 @@
         };
         let existing: Vec<_> = self.upstreams().into_iter().filter(is_named).collect();
         let newest = existing.iter().map(|upstream| upstream.lease.newest().incarnation).max();
-        self.record_departure(instance, newest.unwrap_or(now_ms));
+        let incarnation = newest.unwrap_or(now_ms);
+        let departure = member::Departure { instance: instance.clone(), incarnation };
+        self.departures.record(departure.clone());
         let mut is_changed = false;
         for upstream in existing.iter().filter(|upstream| !upstream.is_draining()) {
             upstream.drain();
@@ -263,6 +260,7 @@
         if is_changed {
             self.publish();
         }
+        departure
     }
 
     /// Does periodic work: drains and removes upstreams whose lease has expired or whose service is
@@ -270,9 +268,7 @@
     /// waiting requests, closes expired idle connections and abandons stalled exchanges.
     pub fn tick(&self) {
         let now = self.shared.now();
-        if self.history.is_over(now) {
-            self.departures.mark_known();
-        }
+        self.departures.expire();
         let policy = self.shared.policy();
         let mut obsolete = Vec::new();
         let mut is_changed = false;
@@ -286,7 +282,8 @@
             };
             let lease = upstream.lease.newest();
             // The departure was recorded by an earlier process, and learned after the announcement.
-            let departed = |name: &ids::InstanceName| self.has_departed(name, lease.incarnation);
+            let departed =
+                |name: &ids::InstanceName| self.departures.contains(name, lease.incarnation);
             if !upstream.is_draining() && lease.instance.as_ref().is_some_and(departed) {
                 upstream.drain();
                 is_changed = true;
