Keep all recent departures when many servers leave together

Of 40 backend servers of one daemon that left while the store was silent, all were acknowledged when it responded, and late heartbeats of 24 of them were accepted after a restart of the daemons.

Departures of which the daemon has heard in the last 120 s, longer than a heartbeat may be on its way, are now kept and stored whatever comes after them, and what peers or the registry tell goes before what was reported. The bound on what a process knows, 256, holds: beyond it further departures take effect and are not acknowledged.

--- a/crates/state/src/departures.rs
+++ b/crates/state/src/departures.rs
@@ -26,8 +26,8 @@
 /// let now = Instant::now();
 /// let history = history::History::new(now, UNIX_EPOCH, Duration::from_secs(6));
 /// let mut departures = departures::Departures::new(Some(history));
-/// departures.learn_registered(&lookup::Lookup::Absent, 1);
-/// departures.record(member::Departure { instance: "i-1".into(), incarnation: 7 }, 1);
+/// departures.learn_registered(&lookup::Lookup::Absent, 1, now);
+/// departures.record(member::Departure { instance: "i-1".into(), incarnation: 7 }, 1, now);
 /// assert!(departures.contains("i-1", 7) && !departures.is_stored("i-1", 7, 1));
 ///
 /// let written = departures.begin_write(1);
@@ -38,7 +38,7 @@
 #[derive(Debug, Clone)]
 pub struct Departures {
     /// Newest departed incarnation of each instance; those that were reported last at the end.
-    entries: IndexMap<ids::InstanceName, ids::Incarnation>,
+    entries: IndexMap<ids::InstanceName, Entry>,
     /// Departures that the daemon publishes: to its peers, and to the registry with the next write.
     published: Vec<member::Departure>,
     /// What the registry holds at least, as of the last confirmed write of this process, which no earlier
@@ -52,10 +52,19 @@
     is_known: bool,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    incarnation: ids::Incarnation,
+    /// When this process last heard of the departure.
+    heard: time::Instant,
+}
+
 /// Maximum number of departures that a process knows; a VM runs few backend servers.
 const ENTRIES_MAX: usize = 256;
-/// Maximum number of departures that are published.
-const PUBLISHED_MAX: usize = 16;
+/// Number of departures that are published, if none of the others was heard of recently.
+const PUBLISHED_MIN: usize = 16;
+/// Time for which a departure is kept and published in any case; longer than a heartbeat may be on its way.
+const RETENTION: time::Duration = time::Duration::from_secs(120);
 /// Epoch of a registry that has never been restored.
 const EPOCH_FIRST: ids::SourceEpoch = 1;
 
@@ -76,7 +85,14 @@
 
     /// Records a departure that a backend server reports. It covers all earlier incarnations. `epoch` is
     /// the newest known epoch of the registry.
-    pub fn record(&mut self, departure: member::Departure, epoch: ids::SourceEpoch) {
+    ///
+    /// The departure is dropped, and never counts as stored, if too many others are recent.
+    pub fn record(
+        &mut self,
+        departure: member::Departure,
+        epoch: ids::SourceEpoch,
+        now: time::Instant,
+    ) {
         if !self.is_stored(&departure.instance, departure.incarnation, epoch) {
             // Requires a write, also if an older epoch or an earlier process has stored the departure.
             self.held = self.held.take().filter(|held| held.epoch >= epoch);
@@ -84,34 +100,44 @@
         }
         let member::Departure { instance, incarnation } = departure;
         let known = self.entries.shift_remove(&instance);
-        self.make_room();
-        self.entries.insert(instance, known.map_or(incarnation, |known| known.max(incarnation)));
-        self.publish();
+        let incarnation = known.map_or(incarnation, |known| known.incarnation.max(incarnation));
+        if self.make_room(now) {
+            self.entries.insert(instance, Entry { incarnation, heard: now });
+        }
+        self.publish(now);
     }
 
     /// Takes over departures from a record that a peer has of an earlier process. Nothing is known about
     /// whether the registry holds them.
-    pub fn learn(&mut self, departed: &[member::Departure]) {
+    pub fn learn(&mut self, departed: &[member::Departure], now: time::Instant) {
         for member::Departure { instance, incarnation } in departed.iter().rev() {
+            let entry = Entry { incarnation: *incarnation, heard: now };
             if let Some(known) = self.entries.get_mut(instance) {
-                *known = (*known).max(*incarnation);
-            } else if self.entries.len() < ENTRIES_MAX {
-                self.entries.shift_insert(0, instance.clone(), *incarnation);
+                if known.incarnation < entry.incarnation {
+                    *known = entry;
+                }
+            } else if self.make_room(now) {
+                self.entries.shift_insert(0, instance.clone(), entry);
             }
         }
-        self.publish();
+        self.publish(now);
     }
 
     /// Takes over what the registry has of this daemon, as of a lookup in a registry of `epoch`.
     ///
     /// These are all departures that were acknowledged, unless the registry was restored from an older
     /// copy since they were written: its epoch is newer then.
-    pub fn learn_registered(&mut self, found: &lookup::Lookup, epoch: ids::SourceEpoch) {
+    pub fn learn_registered(
+        &mut self,
+        found: &lookup::Lookup,
+        epoch: ids::SourceEpoch,
+        now: time::Instant,
+    ) {
         self.found.clear();
         self.is_known |= match found {
             lookup::Lookup::Absent => epoch <= EPOCH_FIRST,
             lookup::Lookup::Found(found) => {
-                self.learn(&found.departed);
+                self.learn(&found.departed, now);
                 self.found.clone_from(&found.departed);
                 found.epoch >= epoch.max(EPOCH_FIRST)
             }
@@ -153,7 +179,7 @@
 
     /// Returns whether an incarnation of a backend server has departed, as far as is known.
     pub fn contains(&self, instance: &str, incarnation: ids::Incarnation) -> bool {
-        self.entries.get(instance).is_some_and(|departed| incarnation <= *departed)
+        self.entries.get(instance).is_some_and(|departed| incarnation <= departed.incarnation)
     }
 
     /// Returns the time for which a heartbeat of `incarnation` cannot be accepted, as its sender may have
@@ -203,25 +229,35 @@
         if self.is_known { epoch.max(EPOCH_FIRST) } else { 0 }
     }
 
-    /// Removes the oldest entry if there is no room for another.
-    fn make_room(&mut self) {
-        if self.entries.len() >= ENTRIES_MAX {
-            self.entries.shift_remove_index(0);
+    /// Removes the oldest entry if there is no room for another. Returns whether there is room.
+    fn make_room(&mut self, now: time::Instant) -> bool {
+        if self.entries.len() < ENTRIES_MAX {
+            return true;
         }
+        let oldest = self.entries.values().position(|entry| !entry.is_recent(now));
+        oldest.and_then(|index| self.entries.shift_remove_index(index)).is_some()
     }
 
-    fn publish(&mut self) {
-        let first = self.entries.len().saturating_sub(PUBLISHED_MAX);
-        let published = self.entries.iter().skip(first);
+    fn publish(&mut self, now: time::Instant) {
+        let first = self.entries.len().saturating_sub(PUBLISHED_MIN);
+        let entries = self.entries.iter().enumerate();
+        let published =
+            entries.filter(|(index, (_, entry))| *index >= first || entry.is_recent(now));
         self.published = published
-            .map(|(instance, &incarnation)| member::Departure {
+            .map(|(_, (instance, entry))| member::Departure {
                 instance: instance.clone(),
-                incarnation,
+                incarnation: entry.incarnation,
             })
             .collect();
     }
 }
 
+impl Entry {
+    fn is_recent(&self, now: time::Instant) -> bool {
+        now.saturating_duration_since(self.heard) < RETENTION
+    }
+}
+
 /// Returns whether `departure` implies `other`.
 fn covers(departure: &member::Departure, other: &member::Departure) -> bool {
     departure.instance == other.instance && departure.incarnation >= other.incarnation
--- a/crates/state/src/departures/tests/exploration.rs
+++ b/crates/state/src/departures/tests/exploration.rs
@@ -101,14 +101,14 @@
         let mut next = self.clone();
         match step {
             Step::Report(server) => {
-                next.departures.record(departure(server, INCARNATION), self.known);
+                next.departures.record(departure(server, INCARNATION), self.known, now);
             }
             Step::GossipToPeer => next.peer = self.departures.published().to_vec(),
-            Step::GossipFromPeer => next.departures.learn(&self.peer),
+            Step::GossipFromPeer => next.departures.learn(&self.peer, now),
             Step::LookUp => {
                 let found = self.registration.clone();
                 let found = found.map_or(lookup::Lookup::Absent, lookup::Lookup::Found);
-                next.departures.learn_registered(&found, self.epoch);
+                next.departures.learn_registered(&found, self.epoch, now);
                 next.known = self.epoch;
                 next.has_joined = true;
             }
--- a/crates/state/src/membership/exchange.rs
+++ b/crates/state/src/membership/exchange.rs
@@ -136,7 +136,7 @@
         changes: &mut Vec<membership::Change>,
     ) -> Option<member::Record> {
         if record.daemon == self.own_record.daemon {
-            self.refute(record);
+            self.refute(record, now);
             return None;
         }
         let known = self.peers.get_mut(&record.daemon);
@@ -160,7 +160,7 @@
 
     /// Gives this daemon's record a higher version than `record`, which an earlier process of the
     /// daemon published and which still circulates, and takes over the departures in it.
-    fn refute(&mut self, record: &member::Record) {
+    fn refute(&mut self, record: &member::Record, now: time::Instant) {
         if record.incarnation == self.own_record.incarnation
             && record.version > self.own_record.version
         {
@@ -170,7 +170,7 @@
             self.own_record.incarnation = record.incarnation + 1;
             self.update_own_record(|_| ());
         }
-        self.update_departures(|departures, _| departures.learn(&record.departed));
+        self.update_departures(|departures, _| departures.learn(&record.departed, now));
     }
 
     fn compare(&mut self, digest: &member::Digest, now: time::Instant) -> Outdated {
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -180,7 +180,7 @@
     let now = time::Instant::now();
     let mut fleet: Vec<Membership> = (0..3).map(membership).collect();
     let departure = member::Departure { instance: "i-1".into(), incarnation: 7 };
-    fleet[0].update_departures(|departures, epoch| departures.record(departure, epoch));
+    fleet[0].update_departures(|departures, epoch| departures.record(departure, epoch, now));
     gossip(&mut fleet, 3, now);
     for restart in 0..restarts as u64 {
         let mut restarted = membership(0);
--- a/crates/transport/src/departure_tracker.rs
+++ b/crates/transport/src/departure_tracker.rs
@@ -35,13 +35,15 @@
 
     /// Records a departure that a local backend server has reported.
     pub fn record(&self, departure: member::Departure) {
-        self.update(|departures, epoch| departures.record(departure, epoch));
+        let now = self.shared.now();
+        self.update(|departures, epoch| departures.record(departure, epoch, now));
     }
 
     /// Takes over the result of a lookup in a registry of `epoch`.
     pub fn learn_registered(&self, found: &lookup::Lookup, epoch: ids::SourceEpoch) {
+        let now = self.shared.now();
         self.update(|departures, known| {
-            departures.learn_registered(found, if epoch == 0 { known } else { epoch });
+            departures.learn_registered(found, if epoch == 0 { known } else { epoch }, now);
         });
     }
 
