Take an unreadable registration for an unknown history

Cause: the lookup skipped what it could not decode, and a daemon without a registration takes itself for new. The lookup now names these daemons, and such a daemon waits until late heartbeats have arrived, as after a restore.

--- a/crates/coordination/src/discovery.rs
+++ b/crates/coordination/src/discovery.rs
@@ -44,6 +44,8 @@
 pub struct Directory {
     /// Registrations of all daemons.
     pub registrations: Vec<Registration>,
+    /// Daemons whose registrations cannot be decoded.
+    pub unreadable: Vec<ids::DaemonName>,
     /// Epoch of the registry that holds them; 0 if unknown.
     pub epoch: ids::SourceEpoch,
 }
@@ -216,11 +218,13 @@
 
     /// Takes over the departures in the daemon's registration.
     fn learn_departures(&self, directory: &Directory) {
+        let own = self.shared.membership().own_record().daemon.clone();
         let found = match self.find_own(directory) {
             Some(found) => lookup::Lookup::Found(lookup::Held {
                 departed: found.departed.clone(),
                 epoch: found.epoch,
             }),
+            None if directory.unreadable.contains(&own) => lookup::Lookup::Unreadable,
             None => lookup::Lookup::Absent,
         };
         self.departures.learn_registered(&found, directory.epoch);
--- a/crates/state/src/departures.rs
+++ b/crates/state/src/departures.rs
@@ -136,6 +136,7 @@
         self.found.clear();
         self.is_known |= match found {
             lookup::Lookup::Absent => epoch <= EPOCH_FIRST,
+            lookup::Lookup::Unreadable => false,
             lookup::Lookup::Found(found) => {
                 self.learn(&found.departed, now);
                 self.found.clone_from(&found.departed);
--- a/crates/state/src/departures/lookup.rs
+++ b/crates/state/src/departures/lookup.rs
@@ -18,6 +18,8 @@
 pub enum Lookup {
     /// The daemon is not registered.
     Absent,
+    /// There is a registration that cannot be decoded.
+    Unreadable,
     /// The departures in the registration and the epoch that it states.
     Found(Held),
 }
