Read a confirmation's age before the version that it confirms

A daemon that took over a newer version of the policy while it responded to another daemon could confirm the older version with the age of the newer one; the other daemon then counts its older version as the newest for up to another confirmation.

The age is now read first, so that the version can only be newer than the age requires. a_confirmation_is_not_newer_than_the_version_that_it_states failed before (version 1, age 0) and passes.

--- a/crates/coordination/src/confirmations.rs
+++ b/crates/coordination/src/confirmations.rs
@@ -73,10 +73,11 @@
         tokio::pin!(timeout);
         let mut is_over = false;
         loop {
-            let own_version = self.shared.policy().version;
             let now = self.shared.boot_time();
             let held = now.saturating_duration_since(received);
             let own_age = self.shared.freshness().age(now);
+            // Read last: a version that becomes active meanwhile is newer than the age says, never older.
+            let own_version = self.shared.policy().version;
             let is_gain = |own| age.is_none_or(|age| own + GAIN_MIN <= age + held);
             if is_over || own_version > version || own_age.is_some_and(is_gain) {
                 return control::Confirmation { version: own_version, age: own_age, held };
@@ -119,3 +120,6 @@
     metrics::counter!("lynxmast_confirming_peers_lost_total").increment(1);
     log::info!(event = "confirmation-lost", peer, reason; "another daemon is asked to confirm the policy");
 }
+
+#[cfg(test)]
+mod tests;
