Never publish an older policy version than before

Two tasks that activate versions of the policy one after the other publish the version after they have released it, so that the older number could be published last. Other daemons would fetch the version that they have, and the status would state an older one than is in use. Found by code; no run has shown it.

the_published_policy_version_does_not_decrease failed before (5 in place of 6) and passes.

--- a/crates/state/src/membership.rs
+++ b/crates/state/src/membership.rs
@@ -107,7 +107,8 @@
     /// Sets the active policy version. It spreads with the heartbeat rather than as a change of the
     /// record, since a new version would otherwise change the records of all daemons at once.
     pub fn set_policy_version(&mut self, version: ids::PolicyVersion) {
-        self.own_record.policy = version;
+        // Tasks that have activated versions one after the other may get here in another order.
+        self.own_record.policy = self.own_record.policy.max(version);
         self.own_record.heartbeat += 1;
         self.urgent_ticks = NEWS_URGENT_TICKS;
     }
--- a/crates/state/src/membership/tests.rs
+++ b/crates/state/src/membership/tests.rs
@@ -194,6 +194,15 @@
     assert!(!departures.contains("i-2", 7));
 }
 
+// Guards against a daemon that publishes an older version than it uses, as two tasks publish out of order.
+#[test]
+fn the_published_policy_version_does_not_decrease() {
+    let mut daemon = membership(0);
+    daemon.set_policy_version(6);
+    daemon.set_policy_version(5);
+    assert_eq!(daemon.own_record().policy, 6);
+}
+
 #[test]
 fn gossip_messages_are_bounded() {
     let now = time::Instant::now();
